--- /dev/null
+++ b/cmake/Targets.cmake
@@ -0,0 +1,21 @@
+# sapphirewind_library(NAME [DEPS ...]): a library with include/NAME, src and test.
+function(sapphirewind_library name)
+  cmake_parse_arguments(ARG "" "" "DEPS;PRIVATE_DEPS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/src/*.cpp)
+  add_library(sw_${name} STATIC ${sources})
+  target_include_directories(sw_${name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/${name}/include)
+  target_link_libraries(sw_${name} PUBLIC ${ARG_DEPS} PRIVATE ${ARG_PRIVATE_DEPS})
+  file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/test/*.cpp)
+  if(tests)
+    sapphirewind_test(test_${name} SOURCES ${tests} DEPS sw_${name})
+  endif()
+endfunction()
+
+# sapphirewind_test(NAME SOURCES ... DEPS ...): a Boost.Test program known to CTest.
+function(sapphirewind_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK BOOST_TEST_MODULE=${name})
+  target_link_libraries(${name} PRIVATE ${ARG_DEPS} Boost::unit_test_framework)
+  add_test(NAME ${name} COMMAND ${name} --log_level=test_suite)
+endfunction()
--- /dev/null
+++ b/libs/admission/src/ConcurrencyLimit.cpp
@@ -0,0 +1,71 @@
+#include <admission/ConcurrencyLimit.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirewind::admission {
+
+namespace {
+constexpr double kUrgentShare = 1.0;
+constexpr double kEverydayShare = 0.9;
+constexpr double kDeferrableShare = 0.8;
+/// The limit grows only while it is used to this share, otherwise nothing is learnt.
+constexpr double kUsedShare = 0.7;
+constexpr int kLongestRetryAfterSeconds = 30;
+}
+
+void
+OnFinished(ConcurrencyLimit& aLimit,
+           const LimitOptions& aOptions,
+           base::Duration aMeanWait,
+           size_t aInFlight,
+           base::Instant aNow)
+{
+  if (aMeanWait > aOptions.aimedWait) {
+    if (aNow - aLimit.decreasedAt >= aOptions.decreaseEvery) {
+      aLimit.limit = std::max(aOptions.least, aLimit.limit * aOptions.decrease);
+      aLimit.decreasedAt = aNow;
+    }
+    return;
+  }
+  if (static_cast<double>(aInFlight) >= kUsedShare * aLimit.limit) {
+    aLimit.limit = std::min(aOptions.most, aLimit.limit + 1.0 / aLimit.limit);
+  }
+}
+
+double
+ShareOfLimit(model::Rank aRank)
+{
+  switch (aRank) {
+    case model::Rank::Urgent:
+      return kUrgentShare;
+    case model::Rank::Everyday:
+      return kEverydayShare;
+    case model::Rank::Deferrable:
+      return kDeferrableShare;
+  }
+  return kDeferrableShare;
+}
+
+bool
+MayStart(const ConcurrencyLimit& aLimit, model::Rank aRank, size_t aInFlight)
+{
+  double room = std::max(1.0, aLimit.limit * ShareOfLimit(aRank));
+  return static_cast<double>(aInFlight) + 1.0 <= room;
+}
+
+base::Duration
+ExpectedWait(const ConcurrencyLimit& aLimit, size_t aAhead, base::Duration aTypicalTime)
+{
+  double rounds = static_cast<double>(aAhead) / std::max(1.0, aLimit.limit);
+  return base::Duration(static_cast<int64_t>(rounds * static_cast<double>(aTypicalTime.count())));
+}
+
+int
+RetryAfterSeconds(base::Duration aExpectedWait)
+{
+  auto seconds = static_cast<int>(std::ceil(std::chrono::duration<double>(aExpectedWait).count()));
+  return std::clamp(seconds, 1, kLongestRetryAfterSeconds);
+}
+
+} // namespace sapphirewind::admission
--- /dev/null
+++ b/libs/base/include/base/Time.h
@@ -0,0 +1,54 @@
+/// @file Time types shared by every library. Decisions take an Instant as an argument; only daemons
+/// read the clock.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace sapphirewind::base {
+
+/// A span of time in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// A point on the monotonic clock.
+using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+using std::chrono::duration_cast;
+
+/// Reads the monotonic clock.
+inline Instant
+Now()
+{
+  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+/// Reads the wall clock in milliseconds since the Unix epoch.
+inline int64_t
+WallClockMillis()
+{
+  auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
+/// A duration in whole milliseconds, rounded down.
+inline int64_t
+ToMillis(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+}
+
+/// A duration in milliseconds with its fraction.
+inline double
+ToFractionalMillis(Duration aDuration)
+{
+  return static_cast<double>(aDuration.count()) / 1000.0;
+}
+
+/// A duration from milliseconds with a fraction.
+inline Duration
+FromFractionalMillis(double aMillis)
+{
+  return Duration(static_cast<int64_t>(aMillis * 1000.0));
+}
+
+} // namespace sapphirewind::base
--- /dev/null
+++ b/libs/claims/src/Bucket.cpp
@@ -0,0 +1,254 @@
+#include <claims/Bucket.h>
+
+#include <array>
+#include <base/Random.h>
+#include <model/Fields.h>
+
+namespace sapphirewind::claims {
+
+namespace {
+
+constexpr std::array<Verdict, 7> kVerdicts = { Verdict::Granted,   Verdict::Replay,   Verdict::InDoubt,
+                                               Verdict::KeyReused, Verdict::Full,     Verdict::Recorded,
+                                               Verdict::NotHolder };
+constexpr const char* kOperationTexts[] = { "take", "settle", "give_up" };
+
+OperationResult
+Answer(Verdict aVerdict, std::string aReceipt = {})
+{
+  return OperationResult{ .verdict = aVerdict, .receipt = std::move(aReceipt) };
+}
+
+OperationResult
+AnswerExisting(const Claim& aClaim, const Operation& aOperation)
+{
+  if (aClaim.nonce == aOperation.nonce) {
+    return Answer(Verdict::Granted);
+  }
+  if (aClaim.bodyHash != aOperation.bodyHash) {
+    return Answer(Verdict::KeyReused);
+  }
+  if (aClaim.state == ClaimState::Done && aClaim.outcome == model::Outcome::Ran) {
+    return Answer(Verdict::Replay, aClaim.receipt);
+  }
+  return Answer(Verdict::InDoubt);
+}
+
+OperationResult
+Take(Bucket& aBucket, const Operation& aOperation)
+{
+  auto found = aBucket.claims.find(aOperation.key);
+  if (found != aBucket.claims.end()) {
+    return AnswerExisting(found->second, aOperation);
+  }
+  if (aBucket.claims.size() >= kMostClaims) {
+    return Answer(Verdict::Full);
+  }
+  aBucket.claims[aOperation.key] = Claim{ .state = ClaimState::Held,
+                                          .nonce = aOperation.nonce,
+                                          .holder = aOperation.holder,
+                                          .bodyHash = aOperation.bodyHash,
+                                          .atMillis = aOperation.atMillis,
+                                          .outcome = model::Outcome::Unknown,
+                                          .receipt = {} };
+  return Answer(Verdict::Granted);
+}
+
+OperationResult
+Settle(Bucket& aBucket, const Operation& aOperation)
+{
+  auto found = aBucket.claims.find(aOperation.key);
+  if (found == aBucket.claims.end() || found->second.nonce != aOperation.nonce) {
+    return Answer(Verdict::NotHolder);
+  }
+  found->second.state = ClaimState::Done;
+  found->second.outcome = aOperation.outcome;
+  found->second.receipt = aOperation.receipt;
+  return Answer(Verdict::Recorded);
+}
+
+OperationResult
+GiveUp(Bucket& aBucket, const Operation& aOperation)
+{
+  auto found = aBucket.claims.find(aOperation.key);
+  if (found == aBucket.claims.end()) {
+    return Answer(Verdict::Recorded);
+  }
+  bool held = found->second.nonce == aOperation.nonce && found->second.state == ClaimState::Held;
+  if (!held) {
+    return Answer(Verdict::NotHolder);
+  }
+  aBucket.claims.erase(found);
+  return Answer(Verdict::Recorded);
+}
+
+std::optional<Claim>
+ClaimFromJson(const Json::Value& aValue)
+{
+  model::Fields fields(aValue);
+  std::optional<model::Outcome> outcome = model::OutcomeFromText(fields.Text("outcome"));
+  Claim claim{ .state = fields.Flag("done") ? ClaimState::Done : ClaimState::Held,
+               .nonce = fields.Text("nonce"),
+               .holder = fields.Text("holder"),
+               .bodyHash = static_cast<uint64_t>(fields.Integer("body")),
+               .atMillis = fields.Integer("at"),
+               .outcome = outcome.value_or(model::Outcome::Unknown),
+               .receipt = fields.Text("receipt") };
+  return fields.Ok() && outcome ? std::optional(claim) : std::nullopt;
+}
+
+} // namespace
+
+const char*
+ToText(Verdict aVerdict)
+{
+  switch (aVerdict) {
+    case Verdict::Granted:
+      return "granted";
+    case Verdict::Replay:
+      return "replay";
+    case Verdict::InDoubt:
+      return "in_doubt";
+    case Verdict::KeyReused:
+      return "key_reused";
+    case Verdict::Full:
+      return "full";
+    case Verdict::Recorded:
+      return "recorded";
+    case Verdict::NotHolder:
+      return "not_holder";
+  }
+  return "";
+}
+
+size_t
+BucketOf(const std::string& aKey)
+{
+  return base::Hash64(aKey) % kBuckets;
+}
+
+std::string
+BucketObject(size_t aBucket)
+{
+  return "claims/" + std::to_string(aBucket);
+}
+
+OperationResult
+Apply(Bucket& aBucket, const Operation& aOperation)
+{
+  switch (aOperation.kind) {
+    case OperationKind::Take:
+      return Take(aBucket, aOperation);
+    case OperationKind::Settle:
+      return Settle(aBucket, aOperation);
+    case OperationKind::GiveUp:
+      return GiveUp(aBucket, aOperation);
+  }
+  return Answer(Verdict::NotHolder);
+}
+
+void
+Prune(Bucket& aBucket, int64_t aNowMillis)
+{
+  std::erase_if(aBucket.claims, [&](const auto& aEntry) {
+    return aEntry.second.atMillis + kRetentionMillis < aNowMillis;
+  });
+}
+
+Json::Value
+ToJson(const Bucket& aBucket)
+{
+  Json::Value value(Json::objectValue);
+  for (const auto& [key, claim] : aBucket.claims) {
+    Json::Value entry;
+    entry["done"] = claim.state == ClaimState::Done;
+    entry["nonce"] = claim.nonce;
+    entry["holder"] = claim.holder;
+    entry["body"] = static_cast<Json::Int64>(claim.bodyHash);
+    entry["at"] = static_cast<Json::Int64>(claim.atMillis);
+    entry["outcome"] = model::ToText(claim.outcome);
+    entry["receipt"] = claim.receipt;
+    value[key] = std::move(entry);
+  }
+  return value;
+}
+
+std::optional<Bucket>
+BucketFromJson(const Json::Value& aValue)
+{
+  if (!aValue.isObject()) {
+    return std::nullopt;
+  }
+  Bucket bucket;
+  for (const std::string& key : aValue.getMemberNames()) {
+    std::optional<Claim> claim = ClaimFromJson(aValue[key]);
+    if (!claim) {
+      return std::nullopt;
+    }
+    bucket.claims[key] = std::move(*claim);
+  }
+  return bucket;
+}
+
+Json::Value
+ToJson(const Operation& aOperation)
+{
+  Json::Value value;
+  value["kind"] = kOperationTexts[static_cast<size_t>(aOperation.kind)];
+  value["key"] = aOperation.key;
+  value["nonce"] = aOperation.nonce;
+  value["holder"] = aOperation.holder;
+  value["body"] = static_cast<Json::Int64>(aOperation.bodyHash);
+  value["at"] = static_cast<Json::Int64>(aOperation.atMillis);
+  value["outcome"] = model::ToText(aOperation.outcome);
+  value["receipt"] = aOperation.receipt;
+  return value;
+}
+
+std::optional<Operation>
+OperationFromJson(const Json::Value& aValue)
+{
+  model::Fields fields(aValue);
+  std::string kindText = fields.Text("kind");
+  std::optional<OperationKind> kind;
+  for (OperationKind candidate : { OperationKind::Take, OperationKind::Settle, OperationKind::GiveUp }) {
+    if (kindText == kOperationTexts[static_cast<size_t>(candidate)]) {
+      kind = candidate;
+    }
+  }
+  std::optional<model::Outcome> outcome = model::OutcomeFromText(fields.Text("outcome"));
+  Operation operation{ .kind = kind.value_or(OperationKind::Take),
+                       .key = fields.Text("key"),
+                       .nonce = fields.Text("nonce"),
+                       .holder = fields.Text("holder"),
+                       .bodyHash = static_cast<uint64_t>(fields.Integer("body")),
+                       .atMillis = fields.Integer("at"),
+                       .outcome = outcome.value_or(model::Outcome::Unknown),
+                       .receipt = fields.Text("receipt") };
+  return fields.Ok() && kind && outcome ? std::optional(operation) : std::nullopt;
+}
+
+Json::Value
+ToJson(const OperationResult& aResult)
+{
+  Json::Value value;
+  value["verdict"] = ToText(aResult.verdict);
+  value["receipt"] = aResult.receipt;
+  return value;
+}
+
+std::optional<OperationResult>
+ResultFromJson(const Json::Value& aValue)
+{
+  model::Fields fields(aValue);
+  std::string text = fields.Text("verdict");
+  std::string receipt = fields.Text("receipt");
+  for (Verdict verdict : kVerdicts) {
+    if (fields.Ok() && text == ToText(verdict)) {
+      return OperationResult{ .verdict = verdict, .receipt = receipt };
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace sapphirewind::claims
--- /dev/null
+++ b/libs/document/src/Document.cpp
@@ -0,0 +1,170 @@
+#include <document/Document.h>
+
+#include <algorithm>
+#include <json/reader.h>
+#include <json/writer.h>
+#include <memory>
+#include <regex>
+
+namespace sapphirewind::document {
+
+namespace {
+
+constexpr int kNestingLimit = 64;
+
+Json::CharReaderBuilder
+StrictBuilder(bool aComments)
+{
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["allowComments"] = aComments;
+  builder["collectComments"] = false;
+  builder["strictRoot"] = false;
+  builder["rejectDupKeys"] = true;
+  builder["stackLimit"] = kNestingLimit;
+  return builder;
+}
+
+/// Runs the reader; a text nested too deeply makes the library throw.
+bool
+RunReader(Json::CharReaderBuilder& aBuilder,
+          std::string_view aText,
+          Json::Value& aRoot,
+          std::string& aErrors)
+{
+  std::unique_ptr<Json::CharReader> reader(aBuilder.newCharReader());
+  try {
+    return reader->parse(aText.data(), aText.data() + aText.size(), &aRoot, &aErrors);
+  } catch (const Json::Exception& error) {
+    aErrors = std::string("* Line 1, Column 1\n  ") + error.what();
+    return false;
+  }
+}
+
+/// Turns the library's report, two or more lines an error, into problems.
+void
+CollectSyntaxProblems(const std::string& aReport, Problems& aProblems)
+{
+  static const std::regex kEntry(R"(\* Line (\d+), Column \d+\n\s*([^\n]+))");
+  auto first = std::sregex_iterator(aReport.begin(), aReport.end(), kEntry);
+  for (auto match = first; match != std::sregex_iterator(); ++match) {
+    aProblems.push_back(
+      Problem{ .line = std::stoul((*match)[1]), .path = "", .message = (*match)[2] });
+  }
+  if (aProblems.empty()) {
+    aProblems.push_back(Problem{ .line = 1, .path = "", .message = "not JSON" });
+  }
+}
+
+size_t
+SequenceLength(unsigned char aLead)
+{
+  if (aLead < 0x80) {
+    return 1;
+  }
+  if (aLead >= 0xC2 && aLead < 0xE0) {
+    return 2;
+  }
+  if (aLead >= 0xE0 && aLead < 0xF0) {
+    return 3;
+  }
+  if (aLead >= 0xF0 && aLead < 0xF5) {
+    return 4;
+  }
+  return 0;
+}
+
+bool
+IsUtf8(std::string_view aText)
+{
+  size_t at = 0;
+  while (at < aText.size()) {
+    size_t length = SequenceLength(static_cast<unsigned char>(aText[at]));
+    if (length == 0 || at + length > aText.size()) {
+      return false;
+    }
+    for (size_t next = 1; next < length; ++next) {
+      if ((static_cast<unsigned char>(aText[at + next]) & 0xC0) != 0x80) {
+        return false;
+      }
+    }
+    at += length;
+  }
+  return true;
+}
+
+} // namespace
+
+std::string
+Describe(const Problem& aProblem)
+{
+  std::string text = "line " + std::to_string(aProblem.line);
+  if (!aProblem.path.empty()) {
+    text += ", " + aProblem.path;
+  }
+  return text + ": " + aProblem.message;
+}
+
+std::optional<Document>
+Document::Parse(std::string_view aText, Problems& aProblems)
+{
+  if (!IsUtf8(aText)) {
+    aProblems.push_back(Problem{ .line = 1, .path = "", .message = "the text is not UTF-8" });
+    return std::nullopt;
+  }
+  Document document;
+  document.text = aText;
+  Json::CharReaderBuilder builder = StrictBuilder(true);
+  std::string report;
+  if (!RunReader(builder, document.text, document.root, report)) {
+    CollectSyntaxProblems(report, aProblems);
+    return std::nullopt;
+  }
+  return document;
+}
+
+size_t
+Document::LineOf(const Json::Value& aValue) const
+{
+  auto start = std::min<size_t>(static_cast<size_t>(aValue.getOffsetStart()), this->text.size());
+  auto end = this->text.begin() + static_cast<std::ptrdiff_t>(start);
+  return 1 + static_cast<size_t>(std::count(this->text.begin(), end, '\n'));
+}
+
+std::optional<Json::Value>
+ParseMessage(std::string_view aText)
+{
+  if (!IsUtf8(aText)) {
+    return std::nullopt;
+  }
+  Json::CharReaderBuilder builder = StrictBuilder(false);
+  Json::Value root;
+  std::string report;
+  if (!RunReader(builder, aText, root, report)) {
+    return std::nullopt;
+  }
+  return root;
+}
+
+std::string
+Write(const Json::Value& aValue)
+{
+  static const Json::StreamWriterBuilder kBuilder = [] {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return builder;
+  }();
+  return Json::writeString(kBuilder, aValue);
+}
+
+std::string
+WriteIndented(const Json::Value& aValue)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "  ";
+  builder["emitUTF8"] = true;
+  return Json::writeString(builder, aValue);
+}
+
+} // namespace sapphirewind::document
--- /dev/null
+++ b/libs/document/src/ObjectReader.cpp
@@ -0,0 +1,270 @@
+#include <document/Document.h>
+
+#include <cmath>
+#include <regex>
+
+namespace sapphirewind::document {
+
+namespace {
+
+constexpr double kMicrosPerMilli = 1000.0;
+constexpr double kMicrosPerSecond = 1000.0 * kMicrosPerMilli;
+constexpr double kMicrosPerMinute = 60.0 * kMicrosPerSecond;
+constexpr double kMicrosPerHour = 60.0 * kMicrosPerMinute;
+
+double
+MicrosPerUnit(const std::string& aUnit)
+{
+  if (aUnit == "us") {
+    return 1.0;
+  }
+  if (aUnit == "ms") {
+    return kMicrosPerMilli;
+  }
+  if (aUnit == "s") {
+    return kMicrosPerSecond;
+  }
+  if (aUnit == "min") {
+    return kMicrosPerMinute;
+  }
+  return kMicrosPerHour;
+}
+
+} // namespace
+
+std::optional<base::Duration>
+ParseDuration(std::string_view aText)
+{
+  static const std::regex kPattern(R"((\d{1,9}(?:\.\d{1,6})?)\s?(us|ms|s|min|h))");
+  std::string text(aText);
+  std::smatch match;
+  if (!std::regex_match(text, match, kPattern)) {
+    return std::nullopt;
+  }
+  double micros = std::stod(match[1]) * MicrosPerUnit(match[2]);
+  return base::Duration(static_cast<int64_t>(std::llround(micros)));
+}
+
+std::optional<double>
+ParsePercent(std::string_view aText)
+{
+  static const std::regex kPattern(R"((\d{1,3}(?:\.\d{1,6})?)\s?%)");
+  std::string text(aText);
+  std::smatch match;
+  if (!std::regex_match(text, match, kPattern)) {
+    return std::nullopt;
+  }
+  double percent = std::stod(match[1]);
+  if (percent > 100.0) {
+    return std::nullopt;
+  }
+  return percent / 100.0;
+}
+
+ObjectReader::ObjectReader(const Document& aDocument,
+                           const Json::Value& aObject,
+                           std::string aPath,
+                           Problems& aProblems)
+  : document(aDocument)
+  , object(aObject)
+  , path(std::move(aPath))
+  , problems(aProblems)
+{
+  if (!this->object.isObject()) {
+    this->problems.push_back(Problem{ .line = this->document.LineOf(this->object),
+                                      .path = this->path,
+                                      .message = "must be an object {...}" });
+  }
+}
+
+bool
+ObjectReader::Has(const char* aName) const
+{
+  return this->object.isObject() && this->object.isMember(aName);
+}
+
+void
+ObjectReader::Known(const char* aName)
+{
+  this->known.insert(aName);
+}
+
+const Json::Value*
+ObjectReader::Find(const char* aName)
+{
+  this->Known(aName);
+  return this->Has(aName) ? &this->object[aName] : nullptr;
+}
+
+void
+ObjectReader::Complain(const std::string& aName, const std::string& aMessage)
+{
+  bool present = this->Has(aName.c_str());
+  const Json::Value& place = present ? this->object[aName] : this->object;
+  std::string where = this->path;
+  if (!aName.empty()) {
+    where += (where.empty() ? "" : ".") + aName;
+  }
+  this->problems.push_back(
+    Problem{ .line = this->document.LineOf(place), .path = where, .message = aMessage });
+}
+
+std::string
+ObjectReader::RequiredText(const char* aName)
+{
+  const Json::Value* value = this->Find(aName);
+  if (!value) {
+    this->Complain(aName, "is missing");
+    return {};
+  }
+  if (!value->isString() || value->asString().empty()) {
+    this->Complain(aName, "must be a text that is not empty");
+    return {};
+  }
+  return value->asString();
+}
+
+std::string
+ObjectReader::OptionalText(const char* aName, std::string aDefault)
+{
+  return this->Has(aName) ? this->RequiredText(aName) : (this->Known(aName), aDefault);
+}
+
+int64_t
+ObjectReader::RequiredInteger(const char* aName, int64_t aLowest, int64_t aHighest)
+{
+  const Json::Value* value = this->Find(aName);
+  if (!value) {
+    this->Complain(aName, "is missing");
+    return aLowest;
+  }
+  if (!value->isInt64() || value->asInt64() < aLowest || value->asInt64() > aHighest) {
+    this->Complain(aName,
+                   "must be a whole number from " + std::to_string(aLowest) + " to " +
+                     std::to_string(aHighest));
+    return aLowest;
+  }
+  return value->asInt64();
+}
+
+int64_t
+ObjectReader::OptionalInteger(const char* aName,
+                              int64_t aDefault,
+                              int64_t aLowest,
+                              int64_t aHighest)
+{
+  this->Known(aName);
+  return this->Has(aName) ? this->RequiredInteger(aName, aLowest, aHighest) : aDefault;
+}
+
+bool
+ObjectReader::OptionalBoolean(const char* aName, bool aDefault)
+{
+  const Json::Value* value = this->Find(aName);
+  if (!value) {
+    return aDefault;
+  }
+  if (!value->isBool()) {
+    this->Complain(aName, "must be true or false");
+    return aDefault;
+  }
+  return value->asBool();
+}
+
+base::Duration
+ObjectReader::RequiredDuration(const char* aName)
+{
+  const Json::Value* value = this->Find(aName);
+  std::optional<base::Duration> duration;
+  if (value && value->isString()) {
+    duration = ParseDuration(value->asString());
+  }
+  if (!duration) {
+    this->Complain(aName,
+                   value ? "must be a time with its unit, such as \"120ms\" or \"5s\""
+                         : "is missing; state a time with its unit, such as \"120ms\"");
+    return base::Duration(0);
+  }
+  return *duration;
+}
+
+base::Duration
+ObjectReader::OptionalDuration(const char* aName, base::Duration aDefault)
+{
+  this->Known(aName);
+  return this->Has(aName) ? this->RequiredDuration(aName) : aDefault;
+}
+
+double
+ObjectReader::RequiredPercent(const char* aName)
+{
+  const Json::Value* value = this->Find(aName);
+  std::optional<double> share;
+  if (value && value->isString()) {
+    share = ParsePercent(value->asString());
+  }
+  if (!share) {
+    this->Complain(aName,
+                   value ? "must be a share from \"0%\" to \"100%\""
+                         : "is missing; state a share such as \"99%\"");
+    return 0.0;
+  }
+  return *share;
+}
+
+double
+ObjectReader::OptionalPercent(const char* aName, double aDefault)
+{
+  this->Known(aName);
+  return this->Has(aName) ? this->RequiredPercent(aName) : aDefault;
+}
+
+const Json::Value*
+ObjectReader::OptionalObject(const char* aName)
+{
+  const Json::Value* value = this->Find(aName);
+  if (value && !value->isObject()) {
+    this->Complain(aName, "must be an object {...}");
+    return nullptr;
+  }
+  return value;
+}
+
+const Json::Value*
+ObjectReader::RequiredObject(const char* aName)
+{
+  if (!this->Has(aName)) {
+    this->Known(aName);
+    this->Complain(aName, "is missing");
+    return nullptr;
+  }
+  return this->OptionalObject(aName);
+}
+
+const Json::Value*
+ObjectReader::OptionalArray(const char* aName)
+{
+  const Json::Value* value = this->Find(aName);
+  if (value && !value->isArray()) {
+    this->Complain(aName, "must be a list [...]");
+    return nullptr;
+  }
+  return value;
+}
+
+void
+ObjectReader::RejectUnknown(std::string (*aExplain)(const std::string&))
+{
+  if (!this->object.isObject()) {
+    return;
+  }
+  for (const std::string& name : this->object.getMemberNames()) {
+    if (this->known.count(name)) {
+      continue;
+    }
+    std::string advice = aExplain ? aExplain(name) : std::string();
+    this->Complain(name, advice.empty() ? "unknown key" : advice);
+  }
+}
+
+} // namespace sapphirewind::document
--- /dev/null
+++ b/libs/model/src/Fields.cpp
@@ -0,0 +1,127 @@
+#include <model/Fields.h>
+
+namespace sapphirewind::model {
+
+namespace {
+const Json::Value kEmptyList(Json::arrayValue);
+const Json::Value kEmptyObject(Json::objectValue);
+}
+
+Fields::Fields(const Json::Value& aValue)
+  : value(aValue)
+  , ok(aValue.isObject())
+{
+}
+
+const Json::Value*
+Fields::Find(const char* aName)
+{
+  if (!this->value.isObject() || !this->value.isMember(aName)) {
+    this->ok = false;
+    return nullptr;
+  }
+  return &this->value[aName];
+}
+
+std::string
+Fields::Text(const char* aName)
+{
+  const Json::Value* member = this->Find(aName);
+  if (!member || !member->isString()) {
+    this->ok = false;
+    return {};
+  }
+  return member->asString();
+}
+
+int64_t
+Fields::Integer(const char* aName)
+{
+  const Json::Value* member = this->Find(aName);
+  if (!member || !member->isInt64()) {
+    this->ok = false;
+    return 0;
+  }
+  return member->asInt64();
+}
+
+size_t
+Fields::Size(const char* aName)
+{
+  int64_t number = this->Integer(aName);
+  if (number < 0) {
+    this->ok = false;
+    return 0;
+  }
+  return static_cast<size_t>(number);
+}
+
+double
+Fields::Number(const char* aName)
+{
+  const Json::Value* member = this->Find(aName);
+  if (!member || !member->isNumeric()) {
+    this->ok = false;
+    return 0.0;
+  }
+  return member->asDouble();
+}
+
+bool
+Fields::Flag(const char* aName)
+{
+  const Json::Value* member = this->Find(aName);
+  if (!member || !member->isBool()) {
+    this->ok = false;
+    return false;
+  }
+  return member->asBool();
+}
+
+const Json::Value&
+Fields::List(const char* aName)
+{
+  const Json::Value* member = this->Find(aName);
+  if (!member || !member->isArray()) {
+    this->ok = false;
+    return kEmptyList;
+  }
+  return *member;
+}
+
+const Json::Value&
+Fields::Object(const char* aName)
+{
+  const Json::Value* member = this->Find(aName);
+  if (!member || !member->isObject()) {
+    this->ok = false;
+    return kEmptyObject;
+  }
+  return *member;
+}
+
+std::vector<std::string>
+Fields::Texts(const char* aName)
+{
+  std::vector<std::string> texts;
+  for (const Json::Value& entry : this->List(aName)) {
+    if (!entry.isString()) {
+      this->ok = false;
+      return {};
+    }
+    texts.push_back(entry.asString());
+  }
+  return texts;
+}
+
+Json::Value
+TextsToJson(const std::vector<std::string>& aTexts)
+{
+  Json::Value list(Json::arrayValue);
+  for (const std::string& text : aTexts) {
+    list.append(text);
+  }
+  return list;
+}
+
+} // namespace sapphirewind::model
--- /dev/null
+++ b/libs/model/src/Peer.cpp
@@ -0,0 +1,264 @@
+#include <model/Peer.h>
+
+#include <model/Fields.h>
+
+namespace sapphirewind::model {
+
+namespace {
+
+Json::Value
+ToJson(const Service& aService)
+{
+  Json::Value value;
+  value["class"] = aService.className;
+  value["rank"] = ToText(aService.rank);
+  value["floor"] = aService.floor;
+  return value;
+}
+
+Service
+ServiceFromJson(Fields& aParent)
+{
+  Fields fields(aParent.Object("handling"));
+  std::optional<Rank> rank = RankFromText(fields.Text("rank"));
+  Service service{ .className = fields.Text("class"),
+                   .rank = rank.value_or(Rank::Deferrable),
+                   .floor = fields.Number("floor") };
+  if (!fields.Ok() || !rank) {
+    aParent.Reject();
+  }
+  return service;
+}
+
+Outcome
+OutcomeField(Fields& aFields)
+{
+  std::optional<Outcome> outcome = OutcomeFromText(aFields.Text("outcome"));
+  if (!outcome) {
+    aFields.Reject();
+  }
+  return outcome.value_or(Outcome::Unknown);
+}
+
+std::optional<Errc>
+ErrorField(const Json::Value& aValue)
+{
+  if (!aValue.isObject() || !aValue.isMember("error") || !aValue["error"].isString()) {
+    return std::nullopt;
+  }
+  return ErrcFromText(aValue["error"].asString());
+}
+
+base::Duration
+MicrosField(Fields& aFields, const char* aName)
+{
+  return base::Duration(aFields.Integer(aName));
+}
+
+std::vector<Hit>
+HitsField(Fields& aFields)
+{
+  std::vector<Hit> hits;
+  for (const Json::Value& entry : aFields.List("hits")) {
+    std::optional<Hit> hit = HitFromJson(entry);
+    if (!hit) {
+      aFields.Reject();
+      return {};
+    }
+    hits.push_back(std::move(*hit));
+  }
+  return hits;
+}
+
+Json::Value
+ToJson(const GroupAnswer& aAnswer)
+{
+  Json::Value value;
+  value["group"] = aAnswer.group;
+  value["outcome"] = ToText(aAnswer.outcome);
+  value["shards"] = TextsToJson(aAnswer.shards);
+  value["wait_us"] = static_cast<Json::Int64>(aAnswer.queueWait.count());
+  if (aAnswer.error) {
+    value["error"] = ToText(*aAnswer.error);
+  }
+  return value;
+}
+
+std::optional<GroupAnswer>
+GroupAnswerFromJson(const Json::Value& aValue)
+{
+  Fields fields(aValue);
+  GroupAnswer answer{ .group = fields.Text("group"),
+                      .outcome = OutcomeField(fields),
+                      .shards = fields.Texts("shards"),
+                      .error = ErrorField(aValue),
+                      .queueWait = MicrosField(fields, "wait_us") };
+  return fields.Ok() ? std::optional(answer) : std::nullopt;
+}
+
+} // namespace
+
+Json::Value
+ToJson(const Hit& aHit)
+{
+  Json::Value value;
+  value["id"] = aHit.id;
+  value["shard"] = aHit.shard;
+  value["score"] = aHit.score;
+  value["text"] = aHit.text;
+  return value;
+}
+
+Json::Value
+ToJson(const std::vector<Hit>& aHits)
+{
+  Json::Value list(Json::arrayValue);
+  for (const Hit& hit : aHits) {
+    list.append(ToJson(hit));
+  }
+  return list;
+}
+
+std::optional<Hit>
+HitFromJson(const Json::Value& aValue)
+{
+  Fields fields(aValue);
+  Hit hit{ .id = fields.Text("id"),
+           .shard = fields.Text("shard"),
+           .score = fields.Number("score"),
+           .text = fields.Text("text") };
+  return fields.Ok() ? std::optional(hit) : std::nullopt;
+}
+
+Json::Value
+ToJson(const ScatterRequest& aRequest)
+{
+  Json::Value value;
+  value["version"] = kPeerProtocolVersion;
+  value["request"] = aRequest.requestId;
+  value["service"] = aRequest.service;
+  value["snapshot"] = aRequest.snapshot;
+  value["query"] = aRequest.query;
+  value["top"] = static_cast<Json::UInt64>(aRequest.top);
+  value["handling"] = ToJson(aRequest.handling);
+  value["remaining_us"] = static_cast<Json::Int64>(aRequest.remaining.count());
+  value["canary"] = aRequest.canary;
+  value["groups"] = Json::Value(Json::arrayValue);
+  for (const GroupTask& task : aRequest.groups) {
+    Json::Value entry;
+    entry["group"] = task.group;
+    entry["shards"] = TextsToJson(task.shards);
+    value["groups"].append(std::move(entry));
+  }
+  return value;
+}
+
+std::optional<ScatterRequest>
+ScatterRequestFromJson(const Json::Value& aValue)
+{
+  Fields fields(aValue);
+  ScatterRequest request;
+  bool sameVersion = fields.Integer("version") == kPeerProtocolVersion;
+  request.requestId = fields.Text("request");
+  request.service = fields.Text("service");
+  request.snapshot = fields.Text("snapshot");
+  request.query = fields.Text("query");
+  request.top = fields.Size("top");
+  request.handling = ServiceFromJson(fields);
+  request.remaining = MicrosField(fields, "remaining_us");
+  request.canary = fields.Flag("canary");
+  for (const Json::Value& entry : fields.List("groups")) {
+    Fields task(entry);
+    request.groups.push_back(GroupTask{ .group = task.Text("group"), .shards = task.Texts("shards") });
+    if (!task.Ok()) {
+      return std::nullopt;
+    }
+  }
+  return fields.Ok() && sameVersion ? std::optional(request) : std::nullopt;
+}
+
+Json::Value
+ToJson(const ScatterAnswer& aAnswer)
+{
+  Json::Value value;
+  value["version"] = kPeerProtocolVersion;
+  value["hits"] = ToJson(aAnswer.hits);
+  value["groups"] = Json::Value(Json::arrayValue);
+  for (const GroupAnswer& group : aAnswer.groups) {
+    value["groups"].append(ToJson(group));
+  }
+  return value;
+}
+
+std::optional<ScatterAnswer>
+ScatterAnswerFromJson(const Json::Value& aValue)
+{
+  Fields fields(aValue);
+  ScatterAnswer answer;
+  bool sameVersion = fields.Integer("version") == kPeerProtocolVersion;
+  answer.hits = HitsField(fields);
+  for (const Json::Value& entry : fields.List("groups")) {
+    std::optional<GroupAnswer> group = GroupAnswerFromJson(entry);
+    if (!group) {
+      return std::nullopt;
+    }
+    answer.groups.push_back(std::move(*group));
+  }
+  return fields.Ok() && sameVersion ? std::optional(answer) : std::nullopt;
+}
+
+Json::Value
+ToJson(const BookingTask& aTask)
+{
+  Json::Value value;
+  value["version"] = kPeerProtocolVersion;
+  value["request"] = aTask.requestId;
+  value["service"] = aTask.service;
+  value["group"] = aTask.group;
+  value["key"] = aTask.key;
+  value["body"] = aTask.body;
+  value["handling"] = ToJson(aTask.handling);
+  value["remaining_us"] = static_cast<Json::Int64>(aTask.remaining.count());
+  return value;
+}
+
+std::optional<BookingTask>
+BookingTaskFromJson(const Json::Value& aValue)
+{
+  Fields fields(aValue);
+  bool sameVersion = fields.Integer("version") == kPeerProtocolVersion;
+  BookingTask task{ .requestId = fields.Text("request"),
+                    .service = fields.Text("service"),
+                    .group = fields.Text("group"),
+                    .key = fields.Text("key"),
+                    .body = fields.Text("body"),
+                    .handling = ServiceFromJson(fields),
+                    .remaining = MicrosField(fields, "remaining_us") };
+  return fields.Ok() && sameVersion ? std::optional(task) : std::nullopt;
+}
+
+Json::Value
+ToJson(const BookingResult& aResult)
+{
+  Json::Value value;
+  value["version"] = kPeerProtocolVersion;
+  value["outcome"] = ToText(aResult.outcome);
+  value["receipt"] = aResult.receipt;
+  if (aResult.error) {
+    value["error"] = ToText(*aResult.error);
+  }
+  return value;
+}
+
+std::optional<BookingResult>
+BookingResultFromJson(const Json::Value& aValue)
+{
+  Fields fields(aValue);
+  bool sameVersion = fields.Integer("version") == kPeerProtocolVersion;
+  BookingResult result{ .outcome = OutcomeField(fields),
+                        .receipt = fields.Text("receipt"),
+                        .error = ErrorField(aValue) };
+  return fields.Ok() && sameVersion ? std::optional(result) : std::nullopt;
+}
+
+} // namespace sapphirewind::model
--- /dev/null
+++ b/libs/net/src/Connection.cpp
@@ -0,0 +1,169 @@
+#include <net/Connection.h>
+
+#include <algorithm>
+#include <httplib.h>
+
+namespace sapphirewind::net {
+
+namespace {
+
+constexpr base::Duration kShortestTimeout = std::chrono::milliseconds(1);
+
+httplib::Request
+ToLibrary(const Request& aRequest)
+{
+  httplib::Request request;
+  request.method = aRequest.method;
+  request.path = aRequest.path;
+  request.body = aRequest.body;
+  for (const Header& header : aRequest.headers) {
+    request.headers.emplace(header.name, header.value);
+  }
+  if (!aRequest.body.empty() || aRequest.method != "GET") {
+    request.headers.emplace("Content-Type", "application/json");
+  }
+  return request;
+}
+
+Response
+FromLibrary(const httplib::Response& aResponse)
+{
+  Response response;
+  response.status = aResponse.status;
+  response.body = aResponse.body;
+  for (const auto& [name, value] : aResponse.headers) {
+    response.headers.push_back(Header{ .name = name, .value = value });
+  }
+  return response;
+}
+
+bool
+FailedBeforeSending(httplib::Error aError)
+{
+  return aError == httplib::Error::Connection || aError == httplib::Error::ConnectionTimeout ||
+         aError == httplib::Error::BindIPAddress;
+}
+
+} // namespace
+
+struct Connection::Impl
+{
+  Impl(const Endpoint& aEndpoint, const ConnectionOptions& aOptions)
+    : client(aEndpoint.address, aEndpoint.port)
+  {
+    this->client.set_tcp_nodelay(true);
+    this->client.set_keep_alive(aOptions.keepAlive);
+    this->client.set_connection_timeout(aOptions.connectTimeout);
+    this->client.set_follow_location(false);
+  }
+
+  httplib::Client client;
+};
+
+Connection::Connection(Endpoint aEndpoint, ConnectionOptions aOptions)
+  : impl(std::make_unique<Impl>(aEndpoint, aOptions))
+{
+}
+
+Connection::~Connection() = default;
+
+base::Result<Response>
+Connection::Send(const Request& aRequest, base::Duration aTimeout)
+{
+  this->reusable = false;
+  if (this->aborted) {
+    return base::Failure{ .code = Errc::Aborted, .detail = "given up before sending" };
+  }
+  base::Duration timeout = std::max(aTimeout, kShortestTimeout);
+  this->impl->client.set_read_timeout(timeout);
+  this->impl->client.set_write_timeout(timeout);
+  base::Instant started = base::Now();
+  httplib::Result result = this->impl->client.send(ToLibrary(aRequest));
+  this->lastUsed = base::Now();
+  if (result) {
+    bool closing = result->get_header_value("Connection") == "close";
+    this->reusable = !this->aborted && !closing;
+    return FromLibrary(*result);
+  }
+  std::string detail = httplib::to_string(result.error());
+  if (FailedBeforeSending(result.error())) {
+    return base::Failure{ .code = Errc::ConnectFailed, .detail = detail };
+  }
+  if (this->aborted) {
+    return base::Failure{ .code = Errc::Aborted, .detail = detail };
+  }
+  bool late = this->lastUsed - started >= timeout;
+  return base::Failure{ .code = late ? Errc::TimedOut : Errc::Broken, .detail = detail };
+}
+
+void
+Connection::Abort()
+{
+  this->aborted = true;
+  this->impl->client.stop();
+}
+
+bool
+Connection::Reusable() const
+{
+  return this->reusable && !this->aborted;
+}
+
+ConnectionPool::ConnectionPool(Endpoint aEndpoint, PoolOptions aOptions)
+  : endpoint(std::move(aEndpoint))
+  , options(aOptions)
+{
+}
+
+std::unique_ptr<Connection>
+ConnectionPool::Take(base::Instant aNow, bool aFresh)
+{
+  if (!aFresh) {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    while (!this->idle.empty()) {
+      std::unique_ptr<Connection> connection = std::move(this->idle.back());
+      this->idle.pop_back();
+      if (aNow - connection->LastUsed() < this->options.maxIdle) {
+        return connection;
+      }
+    }
+  }
+  return std::make_unique<Connection>(this->endpoint, this->options.connection);
+}
+
+void
+ConnectionPool::Give(std::unique_ptr<Connection> aConnection, base::Instant aNow)
+{
+  if (!aConnection->Reusable()) {
+    return;
+  }
+  this->CloseIdle(aNow);
+  std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->idle.size() < this->options.maxIdleConnections) {
+    this->idle.push_back(std::move(aConnection));
+  }
+}
+
+void
+ConnectionPool::CloseIdle(base::Instant aNow)
+{
+  std::vector<std::unique_ptr<Connection>> closing;
+  std::lock_guard<std::mutex> lock(this->mutex);
+  auto tooOld = [&](const std::unique_ptr<Connection>& aConnection) {
+    return aNow - aConnection->LastUsed() >= this->options.maxIdle;
+  };
+  auto young = std::stable_partition(this->idle.begin(), this->idle.end(), tooOld);
+  std::move(this->idle.begin(), young, std::back_inserter(closing));
+  this->idle.erase(this->idle.begin(), young);
+}
+
+base::Result<Response>
+ConnectionPool::Exchange(const Request& aRequest, base::Duration aTimeout, bool aFresh)
+{
+  std::unique_ptr<Connection> connection = this->Take(base::Now(), aFresh);
+  base::Result<Response> result = connection->Send(aRequest, aTimeout);
+  this->Give(std::move(connection), base::Now());
+  return result;
+}
+
+} // namespace sapphirewind::net
--- /dev/null
+++ b/libs/routing/src/Replica.cpp
@@ -0,0 +1,300 @@
+#include <routing/Replica.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace sapphirewind::routing {
+
+namespace {
+
+constexpr double kLatencyWeight = 0.15;
+constexpr double kSlowFactor = 3.0;
+constexpr double kSlowestNoticedMs = 2.0;
+constexpr size_t kSamplesToJudge = 12;
+constexpr size_t kSamplesToJudgeAgain = 3;
+constexpr size_t kFailuresToEject = 3;
+constexpr base::Duration kFirstEjection = std::chrono::seconds(2);
+constexpr base::Duration kLongestEjection = std::chrono::seconds(60);
+constexpr size_t kMaxEjectionDoublings = 5;
+constexpr base::Duration kFirstBackoff = std::chrono::milliseconds(20);
+constexpr size_t kMaxBackoffDoublings = 6;
+constexpr double kShedDecrease = 0.7;
+constexpr double kIncrease = 0.2;
+constexpr double kReportPenalty = 1.0;
+/// Latency assumed of a server that has not answered yet, in milliseconds.
+constexpr double kUnknownLatencyMs = 1.0;
+
+bool
+WasTried(const Replica& aReplica, const std::vector<std::string>& aTried)
+{
+  return std::find(aTried.begin(), aTried.end(), aReplica.name) != aTried.end();
+}
+
+void
+Eject(Replica& aReplica, base::Instant aNow)
+{
+  size_t doublings = std::min(aReplica.ejections, kMaxEjectionDoublings);
+  base::Duration span = std::min(kFirstEjection * (1 << doublings), kLongestEjection);
+  aReplica.ejectedUntil = aNow + span;
+  ++aReplica.ejections;
+  aReplica.samples = 0;
+  aReplica.failuresInRow = 0;
+  // It comes back through slow start, judged anew by its own answers.
+  aReplica.warming = true;
+  aReplica.warmingSince = aReplica.ejectedUntil;
+}
+
+/// The median latency of the servers other than one; 0 when too few have answered.
+double
+MedianOfOthers(std::span<const Replica> aReplicas, size_t aExcept)
+{
+  std::vector<double> latencies;
+  for (size_t index = 0; index < aReplicas.size(); ++index) {
+    if (index != aExcept && aReplicas[index].samples > 0) {
+      latencies.push_back(aReplicas[index].latencyMs);
+    }
+  }
+  if (latencies.empty()) {
+    return 0.0;
+  }
+  auto middle = latencies.begin() + static_cast<std::ptrdiff_t>((latencies.size() - 1) / 2);
+  std::nth_element(latencies.begin(), middle, latencies.end());
+  return *middle;
+}
+
+bool
+IsOutlier(std::span<const Replica> aReplicas, size_t aIndex)
+{
+  const Replica& replica = aReplicas[aIndex];
+  if (replica.failuresInRow >= kFailuresToEject) {
+    return true;
+  }
+  size_t needed = replica.ejections > 0 ? kSamplesToJudgeAgain : kSamplesToJudge;
+  if (replica.samples < needed) {
+    return false;
+  }
+  double median = MedianOfOthers(aReplicas, aIndex);
+  return median > 0.0 && replica.latencyMs > std::max(kSlowestNoticedMs, kSlowFactor * median);
+}
+
+template<typename Usable>
+std::optional<size_t>
+Cheapest(std::span<const Replica> aReplicas,
+         base::Instant aNow,
+         base::Random& aRandom,
+         const Usable& aUsable)
+{
+  std::optional<size_t> best;
+  double bestCost = 0.0;
+  size_t start = aReplicas.empty() ? 0 : base::UniformIndex(aRandom, aReplicas.size());
+  for (size_t step = 0; step < aReplicas.size(); ++step) {
+    size_t index = (start + step) % aReplicas.size();
+    if (!aUsable(aReplicas[index]) || !HasRoom(aReplicas[index], aNow)) {
+      continue;
+    }
+    double cost = Cost(aReplicas[index], aNow);
+    if (!best || cost < bestCost) {
+      best = index;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+bool
+IsAvailable(const Replica& aReplica, base::Instant aNow)
+{
+  return !aReplica.leaving && !aReplica.reserved && aNow >= aReplica.ejectedUntil &&
+         aNow >= aReplica.backoffUntil;
+}
+
+size_t
+EffectiveLimit(const Replica& aReplica, base::Instant aNow)
+{
+  double limit = std::min(aReplica.limit, static_cast<double>(aReplica.ceiling));
+  if (aReplica.warming && aNow < aReplica.warmingSince + kSlowStart) {
+    double share = std::chrono::duration<double>(aNow - aReplica.warmingSince) /
+                   std::chrono::duration<double>(kSlowStart);
+    limit = std::min(limit, 1.0 + std::max(0.0, share) * static_cast<double>(aReplica.ceiling - 1));
+  }
+  return std::max<size_t>(1, static_cast<size_t>(limit));
+}
+
+bool
+HasRoom(const Replica& aReplica, base::Instant aNow)
+{
+  return aReplica.inFlight < EffectiveLimit(aReplica, aNow);
+}
+
+double
+Cost(const Replica& aReplica, base::Instant aNow)
+{
+  double latency = aReplica.samples > 0 ? aReplica.latencyMs : kUnknownLatencyMs;
+  double load = static_cast<double>(aReplica.inFlight + 1) /
+                static_cast<double>(EffectiveLimit(aReplica, aNow));
+  double reported = aNow - aReplica.reportedAt < kReportLifetime ? aReplica.reportedLoad : 0.0;
+  double penalty = 1.0 + kReportPenalty * std::max(0.0, reported - 1.0);
+  return latency * load * penalty;
+}
+
+std::optional<size_t>
+PickReplica(std::span<const Replica> aReplicas,
+            const std::vector<std::string>& aTried,
+            base::Instant aNow,
+            base::Random& aRandom)
+{
+  // Stages widen the choice only when the narrower one has no server at all, not when it is full:
+  // waiting for a slot at home is cheaper than crossing regions.
+  struct Stage
+  {
+    bool home;
+    bool tried;
+  };
+  constexpr Stage kStages[] = { { true, false }, { false, false }, { true, true }, { false, true } };
+  for (const Stage& stage : kStages) {
+    auto usable = [&](const Replica& aReplica) {
+      return aReplica.home == stage.home && WasTried(aReplica, aTried) == stage.tried &&
+             IsAvailable(aReplica, aNow);
+    };
+    if (std::any_of(aReplicas.begin(), aReplicas.end(), usable)) {
+      return Cheapest(aReplicas, aNow, aRandom, usable);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<size_t>
+PickRandomReplica(std::span<const Replica> aReplicas, base::Random& aRandom)
+{
+  std::vector<size_t> usable;
+  for (size_t index = 0; index < aReplicas.size(); ++index) {
+    const Replica& replica = aReplicas[index];
+    if (!replica.leaving && replica.home && replica.inFlight < replica.ceiling) {
+      usable.push_back(index);
+    }
+  }
+  if (usable.empty()) {
+    return std::nullopt;
+  }
+  return usable[base::UniformIndex(aRandom, usable.size())];
+}
+
+void
+OnSent(Replica& aReplica)
+{
+  ++aReplica.inFlight;
+}
+
+namespace {
+
+void
+Release(Replica& aReplica)
+{
+  assert(aReplica.inFlight > 0);
+  --aReplica.inFlight;
+}
+
+void
+AddSample(Replica& aReplica, double aMillis)
+{
+  bool first = aReplica.samples == 0;
+  aReplica.latencyMs =
+    first ? aMillis : aReplica.latencyMs + kLatencyWeight * (aMillis - aReplica.latencyMs);
+  ++aReplica.samples;
+}
+
+} // namespace
+
+void
+OnAnswered(Replica& aReplica, base::Duration aLatency, base::Instant aNow)
+{
+  Release(aReplica);
+  AddSample(aReplica, base::ToFractionalMillis(aLatency));
+  aReplica.failuresInRow = 0;
+  aReplica.shedsInRow = 0;
+  double room = static_cast<double>(aReplica.ceiling);
+  aReplica.limit = std::min(room, aReplica.limit + kIncrease);
+  if (aReplica.warming && aNow >= aReplica.warmingSince + kSlowStart) {
+    aReplica.warming = false;
+    aReplica.ejections = 0;
+  }
+}
+
+void
+OnGivenUp(Replica& aReplica, base::Duration aElapsed)
+{
+  Release(aReplica);
+  double elapsed = base::ToFractionalMillis(aElapsed);
+  if (elapsed > aReplica.latencyMs) {
+    AddSample(aReplica, elapsed);
+  }
+}
+
+void
+OnFailed(Replica& aReplica, FailureKind aKind, base::Instant)
+{
+  Release(aReplica);
+  // A server that cannot be connected to is out at once; other failures may be the request's own.
+  aReplica.failuresInRow += aKind == FailureKind::Connect ? kFailuresToEject : 1;
+}
+
+void
+OnRefused(Replica& aReplica)
+{
+  Release(aReplica);
+}
+
+void
+OnShed(Replica& aReplica, base::Instant aNow, base::Random& aRandom)
+{
+  Release(aReplica);
+  aReplica.limit = std::max(1.0, aReplica.limit * kShedDecrease);
+  size_t doublings = std::min(aReplica.shedsInRow, kMaxBackoffDoublings);
+  ++aReplica.shedsInRow;
+  double jitter = 0.5 + base::UniformUnit(aRandom);
+  double span = static_cast<double>((kFirstBackoff * (1 << doublings)).count()) * jitter;
+  aReplica.backoffUntil = aNow + base::Duration(static_cast<int64_t>(span));
+}
+
+void
+OnReport(Replica& aReplica, double aLoad, base::Instant aNow)
+{
+  aReplica.reportedLoad = aLoad;
+  aReplica.reportedAt = aNow;
+}
+
+void
+BeginSlowStart(Replica& aReplica, base::Instant aNow)
+{
+  aReplica.warming = true;
+  aReplica.warmingSince = aNow;
+}
+
+std::vector<size_t>
+ReviewEjections(std::span<Replica> aReplicas, base::Instant aNow)
+{
+  size_t serving = 0;
+  size_t ejected = 0;
+  for (const Replica& replica : aReplicas) {
+    serving += replica.leaving ? 0 : 1;
+    ejected += !replica.leaving && aNow < replica.ejectedUntil ? 1 : 0;
+  }
+  std::vector<size_t> newly;
+  for (size_t index = 0; index < aReplicas.size(); ++index) {
+    Replica& replica = aReplicas[index];
+    if (replica.leaving || aNow < replica.ejectedUntil || ejected + 1 > serving / 2) {
+      continue;
+    }
+    if (IsOutlier(aReplicas, index)) {
+      Eject(replica, aNow);
+      ++ejected;
+      newly.push_back(index);
+    }
+  }
+  return newly;
+}
+
+} // namespace sapphirewind::routing
--- /dev/null
+++ b/libs/routing/src/SnapshotChoice.cpp
@@ -0,0 +1,93 @@
+#include <routing/SnapshotChoice.h>
+
+#include <algorithm>
+
+namespace sapphirewind::routing {
+
+namespace {
+
+bool
+IsMissing(const SnapshotKnowledge& aKnowledge, const std::string& aSnapshot, base::Instant aNow)
+{
+  auto found = aKnowledge.missingUntil.find(aSnapshot);
+  return found != aKnowledge.missingUntil.end() && aNow < found->second;
+}
+
+template<typename Accept>
+const model::Snapshot*
+Newest(const model::ServiceIndex& aIndex, const Accept& aAccept)
+{
+  const model::Snapshot* newest = nullptr;
+  for (const model::Snapshot& snapshot : aIndex.snapshots) {
+    if (aAccept(snapshot) && (!newest || snapshot.serial > newest->serial)) {
+      newest = &snapshot;
+    }
+  }
+  return newest;
+}
+
+bool
+Names(const model::ServiceIndex& aIndex, const std::string& aSnapshot)
+{
+  return std::any_of(aIndex.snapshots.begin(),
+                     aIndex.snapshots.end(),
+                     [&](const model::Snapshot& aEntry) { return aEntry.id == aSnapshot; });
+}
+
+} // namespace
+
+const model::Snapshot*
+PickSnapshot(const model::ServiceIndex& aIndex,
+             const SnapshotKnowledge& aKnowledge,
+             base::Instant aNow)
+{
+  auto present = [&](const model::Snapshot& aSnapshot) {
+    return !IsMissing(aKnowledge, aSnapshot.id, aNow);
+  };
+  auto proven = [&](const model::Snapshot& aSnapshot) {
+    return aKnowledge.provenAt.count(aSnapshot.id) && present(aSnapshot);
+  };
+  if (const model::Snapshot* snapshot = Newest(aIndex, proven)) {
+    return snapshot;
+  }
+  if (const model::Snapshot* snapshot = Newest(aIndex, present)) {
+    return snapshot;
+  }
+  return Newest(aIndex, [](const model::Snapshot&) { return true; });
+}
+
+std::vector<const model::Snapshot*>
+SnapshotsToProve(const model::ServiceIndex& aIndex, const SnapshotKnowledge& aKnowledge)
+{
+  std::vector<const model::Snapshot*> unproven;
+  for (const model::Snapshot& snapshot : aIndex.snapshots) {
+    if (!aKnowledge.provenAt.count(snapshot.id)) {
+      unproven.push_back(&snapshot);
+    }
+  }
+  return unproven;
+}
+
+void
+NoteReady(SnapshotKnowledge& aKnowledge, const std::string& aSnapshot, base::Instant aNow)
+{
+  aKnowledge.provenAt[aSnapshot] = aNow;
+  aKnowledge.missingUntil.erase(aSnapshot);
+}
+
+void
+NoteMissing(SnapshotKnowledge& aKnowledge, const std::string& aSnapshot, base::Instant aNow)
+{
+  aKnowledge.provenAt.erase(aSnapshot);
+  aKnowledge.missingUntil[aSnapshot] = aNow + kMissingLifetime;
+}
+
+void
+Forget(SnapshotKnowledge& aKnowledge, const model::ServiceIndex& aIndex)
+{
+  auto gone = [&](const auto& aEntry) { return !Names(aIndex, aEntry.first); };
+  std::erase_if(aKnowledge.provenAt, gone);
+  std::erase_if(aKnowledge.missingUntil, gone);
+}
+
+} // namespace sapphirewind::routing
--- /dev/null
+++ b/libs/telemetry/include/telemetry/Events.h
@@ -0,0 +1,98 @@
+/// @file Numbered log events. docs/EVENTS.md is the catalogue; a test holds it against this list.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphirewind::telemetry {
+
+enum class Level
+{
+  Debug,
+  Info,
+  Warning,
+  Error
+};
+
+/// The number of an event never changes meaning; a number that is no longer used is not given again.
+enum class Event
+{
+  Started = 100,
+  Ready = 101,
+  Stopping = 102,
+  Drained = 103,
+  Stopped = 104,
+  StopForced = 105,
+  CannotStart = 106,
+  ClockJumped = 110,
+  Refreshed = 111,
+  ConfigurationInForce = 200,
+  ConfigurationRejected = 201,
+  ObjectMalformed = 202,
+  StoreLost = 210,
+  StoreBack = 211,
+  MemberChanged = 300,
+  RumourRefuted = 301,
+  PeerMessageRefused = 302,
+  PeerUnreachable = 303,
+  CellOpened = 310,
+  CellClosed = 311,
+  ServerEjected = 400,
+  ServerLeaving = 401,
+  ServerLost = 402,
+  AnswerDiscarded = 403,
+  ServerShed = 404,
+  RequestSuspect = 410,
+  RequestCondemned = 411,
+  RequestCleared = 412,
+  SnapshotRestart = 420,
+  SnapshotProven = 421,
+  BookingUnknown = 500,
+  ClaimGivenUp = 501,
+  ClaimWriteFailed = 502,
+  AlertFiring = 600,
+  AlertResolved = 601,
+};
+
+/// An event's fixed part.
+struct EventInfo
+{
+  Event event;
+  Level level;
+  const char* name;
+};
+
+/// All events, in order of their number.
+const std::vector<EventInfo>&
+AllEvents();
+
+struct LogOptions
+{
+  /// Prefixed to every line.
+  std::string instance;
+  /// Empty logs to standard error.
+  std::string file;
+  Level lowest = Level::Info;
+};
+
+/// Sets logging up; call once, before threads start.
+void
+OpenLog(const LogOptions& aOptions);
+
+/// One name and value of an event.
+struct Field
+{
+  const char* name;
+  std::string value;
+};
+
+/// Logs an event with its fields as `E0401 ServerLeaving server=... `.
+void
+Log(Event aEvent, std::initializer_list<Field> aFields);
+
+/// Writes out what is buffered.
+void
+FlushLog();
+
+} // namespace sapphirewind::telemetry
--- /dev/null
+++ b/libs/tier/include/tier/BookingService.h
@@ -0,0 +1,84 @@
+/// @file Runs a request with side effects at most once: claim, one dispatch, record.
+#pragma once
+
+#include <base/Time.h>
+#include <optional>
+#include <string>
+#include <telemetry/ClassMetrics.h>
+#include <tier/ClaimWriter.h>
+#include <tier/Gate.h>
+#include <tier/Scatter.h>
+#include <tier/World.h>
+
+namespace sapphirewind::tier {
+
+/// A caller's booking.
+struct BookingRequest
+{
+  std::string requestId;
+  std::string className;
+  std::string key;     ///< The caller's Idempotency-Key.
+  std::string subject; ///< What is booked; decides the group.
+  std::string body;    ///< Passed to the upstream as it is.
+};
+
+/// What the caller is told.
+struct BookingAnswer
+{
+  std::string requestId;
+  model::Outcome outcome = model::Outcome::NotRun;
+  std::string receipt;
+  /// Whether the receipt is of an earlier request with the same key.
+  bool replayed = false;
+  std::optional<model::Errc> error;
+  std::string detail;
+  int retryAfterSeconds = 0;
+};
+
+/// What the service needs. The references outlive it.
+struct BookingContext
+{
+  std::string self;
+  WorldHolder& world;
+  Gates& gates;
+  ClaimWriter& claims;
+  CellTable& cells;
+  PeerClient& peers;
+  Executor& executor;
+  Freshness& freshness;
+  telemetry::ClassMetrics& metrics;
+};
+
+/// Thread-safe; blocks the caller's thread.
+class BookingService
+{
+public:
+  explicit BookingService(BookingContext aContext);
+
+  BookingAnswer Book(const BookingRequest& aRequest, std::optional<base::Duration> aTimeLeft);
+
+private:
+  BookingAnswer Claimed(const BookingRequest& aRequest,
+                        const World& aWorld,
+                        const model::BookingTask& aTask,
+                        const std::string& aNonce,
+                        base::Instant aDeadline);
+  model::BookingResult Dispatch(const World& aWorld,
+                                model::BookingTask aTask,
+                                base::Instant aDeadline);
+  model::BookingResult DispatchHere(const model::BookingTask& aTask, base::Instant aDeadline);
+  std::optional<claims::OperationResult> Apply(const World& aWorld,
+                                               const claims::Operation& aOperation,
+                                               base::Instant aDeadline);
+  void Record(const World& aWorld,
+              const claims::Operation& aOperation,
+              base::Instant aDeadline);
+
+  BookingContext context;
+};
+
+/// The group that books a subject in a snapshot. Pure. Empty for a snapshot without shards.
+std::string
+GroupForSubject(const model::Snapshot& aSnapshot, const std::string& aSubject);
+
+} // namespace sapphirewind::tier
--- /dev/null
+++ b/libs/tier/include/tier/Freshness.h
@@ -0,0 +1,43 @@
+/// @file Notices that the process stood still, and holds new work until its knowledge is refreshed.
+#pragma once
+
+#include <atomic>
+#include <base/Time.h>
+#include <condition_variable>
+#include <mutex>
+
+namespace sapphirewind::tier {
+
+/// The gap between two ticks that counts as having been frozen.
+constexpr base::Duration kFrozenGap = std::chrono::milliseconds(1500);
+/// The longest that work is held for a refresh; with nobody to ask, the old knowledge must do.
+constexpr base::Duration kLongestHold = std::chrono::milliseconds(1000);
+
+/// Thread-safe. A background thread ticks; every dispatch passes the gate.
+class Freshness
+{
+public:
+  explicit Freshness(base::Instant aNow);
+
+  /// Called several times a second. Returns whether the process had stood still.
+  bool Tick(base::Instant aNow);
+
+  /// Called when knowledge was brought up to date, by the platform or a peer, after a moment.
+  void OnRefreshed(base::Instant aNow);
+
+  /// Returns false at once while fresh. After a freeze, waits for the refresh or the longest hold and
+  /// returns true: what was decided before must be decided again.
+  bool Pass();
+
+  /// Whether a refresh is wanted.
+  bool IsStale() const;
+
+private:
+  std::atomic<int64_t> lastTick;
+  mutable std::mutex mutex;
+  std::condition_variable changed;
+  std::atomic<bool> stale{ false };
+  base::Instant staleSince{};
+};
+
+} // namespace sapphirewind::tier
--- /dev/null
+++ b/libs/tier/include/tier/Gossip.h
@@ -0,0 +1,90 @@
+/// @file What instances tell each other: membership, object versions, leaving servers, quarantine.
+#pragma once
+
+#include <base/Random.h>
+#include <base/Time.h>
+#include <functional>
+#include <membership/View.h>
+#include <mutex>
+#include <string>
+#include <model/Work.h>
+#include <tier/Freshness.h>
+#include <tier/ObjectCache.h>
+#include <tier/PeerClient.h>
+#include <tier/Shared.h>
+#include <vector>
+
+namespace sapphirewind::tier {
+
+/// One gossip message; the answer has the same form.
+struct GossipMessage
+{
+  membership::Member sender;
+  std::vector<membership::Member> rumours;
+  /// A hash over the sender's object versions.
+  uint64_t digest = 0;
+  std::vector<LeavingServer> leaving;
+  std::vector<quarantine::Condemned> condemned;
+};
+
+Json::Value
+ToJson(const GossipMessage& aMessage);
+std::optional<GossipMessage>
+GossipMessageFromJson(const Json::Value& aValue);
+
+/// Rumours that one message carries at the most.
+constexpr size_t kRumoursPerMessage = 8;
+
+/// The time between probes: short in a small fleet, bounded below so that the cost a node is constant.
+base::Duration
+ProbeInterval(size_t aFleet);
+
+/// What gossip needs. The references outlive it.
+struct GossipContext
+{
+  ObjectCache& objects;
+  PeerClient& peers;
+  LeavingServers& leaving;
+  SharedQuarantine& quarantine;
+  Freshness& freshness;
+  /// Called after membership or objects changed, on the gossip thread or a handler's.
+  std::function<void()> onChange;
+};
+
+/// Thread-safe.
+class Gossip
+{
+public:
+  Gossip(GossipContext aContext, membership::Member aSelf, std::vector<std::string> aSeeds);
+
+  /// One round: probe a member, exchange what differs, expire suspects. aNews asks for a probe of
+  /// several members, to pass on news at once.
+  void Round(bool aNews);
+
+  /// Answers a peer's message.
+  GossipMessage Answer(const GossipMessage& aMessage);
+
+  /// Marks this instance as leaving.
+  void Leave();
+
+  void ApplyPlatformList(const std::vector<model::InstanceRecord>& aList);
+
+  membership::View View() const;
+  bool IsWatcher() const;
+
+private:
+  GossipMessage Compose();
+  void TakeIn(const GossipMessage& aMessage);
+  bool Probe(const membership::Member& aTarget);
+  void ProbeThroughOthers(const membership::Member& aTarget);
+  void ExchangeObjects(const std::string& aAddress);
+
+  GossipContext context;
+  const std::vector<std::string> seeds;
+  mutable std::mutex mutex;
+  membership::View view;
+  membership::Timing timing;
+  base::Random random;
+};
+
+} // namespace sapphirewind::tier
--- /dev/null
+++ b/libs/tier/include/tier/ObjectCache.h
@@ -0,0 +1,43 @@
+/// @file The followed platform objects as far as this instance has seen them.
+///
+/// An object is replaced only by a higher version, whether it comes from a watch, a slow poll or a
+/// peer. So an accepted configuration spreads also while the platform is down, and an old read after a
+/// new one changes nothing.
+#pragma once
+
+#include <json/value.h>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <platform/Store.h>
+#include <string>
+#include <vector>
+
+namespace sapphirewind::tier {
+
+/// Thread-safe.
+class ObjectCache
+{
+public:
+  /// Takes an object in if its version is higher than the known one; says whether it was.
+  bool Offer(const std::string& aName, const platform::Versioned& aObject);
+
+  std::optional<platform::Versioned> Get(const std::string& aName) const;
+
+  uint64_t VersionOf(const std::string& aName) const;
+
+  /// Names with versions, in order of name.
+  std::vector<platform::Change> Versions() const;
+
+  /// Objects under a prefix, in order of name.
+  std::vector<platform::Versioned> Under(const std::string& aPrefix) const;
+
+  /// A hash over all names and versions; equal hashes mean that there is nothing to exchange.
+  uint64_t Digest() const;
+
+private:
+  mutable std::mutex mutex;
+  std::map<std::string, platform::Versioned> objects;
+};
+
+} // namespace sapphirewind::tier
--- /dev/null
+++ b/libs/tier/src/ClaimWriter.cpp
@@ -0,0 +1,140 @@
+#include <tier/ClaimWriter.h>
+
+#include <algorithm>
+#include <telemetry/Events.h>
+#include <thread>
+
+namespace sapphirewind::tier {
+
+namespace {
+
+constexpr base::Duration kRetryPause = std::chrono::milliseconds(20);
+
+/// Verdicts that an out-of-date copy of the bucket can give wrongly; they are checked on a fresh one.
+bool
+NeedsFreshCopy(claims::Verdict aVerdict)
+{
+  return aVerdict == claims::Verdict::InDoubt || aVerdict == claims::Verdict::Full ||
+         aVerdict == claims::Verdict::NotHolder;
+}
+
+} // namespace
+
+ClaimWriter::ClaimWriter(platform::Store& aStore, Counters& aCounters)
+  : store(aStore)
+  , counters(aCounters)
+{
+  for (std::unique_ptr<Bucket>& bucket : this->buckets) {
+    bucket = std::make_unique<Bucket>();
+  }
+}
+
+ClaimWriter::~ClaimWriter() = default;
+
+std::optional<claims::OperationResult>
+ClaimWriter::Submit(const claims::Operation& aOperation, base::Instant aDeadline)
+{
+  size_t index = claims::BucketOf(aOperation.key);
+  Bucket& bucket = *this->buckets[index];
+  auto pending = std::make_shared<Pending>();
+  pending->operation = aOperation;
+  pending->deadline = aDeadline;
+  std::unique_lock<std::mutex> lock(bucket.mutex);
+  bucket.waiting.push_back(pending);
+  while (!pending->finished) {
+    if (bucket.writing) {
+      bucket.changed.wait(lock);
+      continue;
+    }
+    // This thread leads: it writes for everything that waits by now.
+    std::vector<std::shared_ptr<Pending>> batch = std::move(bucket.waiting);
+    bucket.waiting.clear();
+    bucket.writing = true;
+    lock.unlock();
+    this->Commit(index, bucket, batch);
+    lock.lock();
+    bucket.writing = false;
+    bucket.changed.notify_all();
+  }
+  return pending->result;
+}
+
+bool
+ClaimWriter::Load(size_t aIndex, Bucket& aBucket)
+{
+  ++this->counters.storeCalls;
+  base::Result<platform::Versioned> read = this->store.Read(claims::BucketObject(aIndex));
+  if (!read) {
+    if (read.Error().code != platform::Errc::NotFound) {
+      return false;
+    }
+    aBucket.cached = claims::Bucket();
+    aBucket.version = platform::kAbsent;
+    return true;
+  }
+  aBucket.cached = claims::BucketFromJson(read->value);
+  aBucket.version = read->version;
+  return aBucket.cached.has_value();
+}
+
+bool
+ClaimWriter::TryOnce(size_t aIndex, Bucket& aBucket, std::vector<std::shared_ptr<Pending>>& aBatch)
+{
+  bool fresh = !aBucket.cached;
+  if (fresh && !this->Load(aIndex, aBucket)) {
+    return false;
+  }
+  claims::Bucket next = *aBucket.cached;
+  claims::Prune(next, base::WallClockMillis());
+  bool recheck = false;
+  for (const std::shared_ptr<Pending>& pending : aBatch) {
+    pending->result = claims::Apply(next, pending->operation);
+    recheck = recheck || NeedsFreshCopy(pending->result->verdict);
+  }
+  if (recheck && !fresh) {
+    aBucket.cached.reset();
+    return false;
+  }
+  if (next == *aBucket.cached) {
+    return true;
+  }
+  ++this->counters.storeCalls;
+  base::Result<uint64_t> written =
+    this->store.Write(claims::BucketObject(aIndex), claims::ToJson(next), aBucket.version);
+  if (!written) {
+    // The write may have taken effect: the next try reads back, and finds its own nonces if it did.
+    aBucket.cached.reset();
+    return false;
+  }
+  aBucket.cached = std::move(next);
+  aBucket.version = *written;
+  return true;
+}
+
+void
+ClaimWriter::Commit(size_t aIndex, Bucket& aBucket, std::vector<std::shared_ptr<Pending>>& aBatch)
+{
+  base::Instant last = base::Instant::min();
+  for (const std::shared_ptr<Pending>& pending : aBatch) {
+    last = std::max(last, pending->deadline);
+  }
+  bool done = false;
+  for (bool first = true; !done && (first || base::Now() < last); first = false) {
+    if (!first) {
+      std::this_thread::sleep_for(kRetryPause);
+    }
+    done = this->TryOnce(aIndex, aBucket, aBatch);
+  }
+  if (!done) {
+    telemetry::Log(telemetry::Event::ClaimWriteFailed, { { "bucket", std::to_string(aIndex) } });
+  }
+  std::lock_guard<std::mutex> lock(aBucket.mutex);
+  for (const std::shared_ptr<Pending>& pending : aBatch) {
+    if (!done) {
+      pending->result.reset();
+    }
+    pending->finished = true;
+  }
+}
+
+} // namespace sapphirewind::tier
--- /dev/null
+++ b/libs/tier/src/GossipMessage.cpp
@@ -0,0 +1,98 @@
+#include <tier/Gossip.h>
+
+#include <cmath>
+#include <model/Fields.h>
+
+namespace sapphirewind::tier {
+
+namespace {
+
+constexpr base::Duration kShortestInterval = std::chrono::milliseconds(200);
+constexpr base::Duration kLongestInterval = std::chrono::milliseconds(1000);
+/// The fleet up to which the shortest interval holds.
+constexpr double kSmallFleet = 16.0;
+
+} // namespace
+
+base::Duration
+ProbeInterval(size_t aFleet)
+{
+  double growth = std::sqrt(std::max(1.0, static_cast<double>(aFleet) / kSmallFleet));
+  auto interval = base::Duration(
+    static_cast<int64_t>(static_cast<double>(kShortestInterval.count()) * growth));
+  return std::min(interval, kLongestInterval);
+}
+
+Json::Value
+ToJson(const GossipMessage& aMessage)
+{
+  Json::Value value;
+  value["version"] = model::kPeerProtocolVersion;
+  value["sender"] = membership::ToJson(aMessage.sender);
+  value["digest"] = static_cast<Json::UInt64>(aMessage.digest);
+  value["rumours"] = Json::Value(Json::arrayValue);
+  for (const membership::Member& rumour : aMessage.rumours) {
+    value["rumours"].append(membership::ToJson(rumour));
+  }
+  value["leaving"] = Json::Value(Json::arrayValue);
+  for (const LeavingServer& server : aMessage.leaving) {
+    Json::Value entry;
+    entry["server"] = server.server;
+    entry["us"] = static_cast<Json::Int64>(server.remaining.count());
+    value["leaving"].append(std::move(entry));
+  }
+  value["condemned"] = Json::Value(Json::arrayValue);
+  for (const quarantine::Condemned& condemned : aMessage.condemned) {
+    Json::Value entry;
+    entry["fingerprint"] = static_cast<Json::UInt64>(condemned.fingerprint);
+    entry["us"] = static_cast<Json::Int64>(condemned.remaining.count());
+    value["condemned"].append(std::move(entry));
+  }
+  return value;
+}
+
+std::optional<GossipMessage>
+GossipMessageFromJson(const Json::Value& aValue)
+{
+  model::Fields fields(aValue);
+  if (fields.Integer("version") != model::kPeerProtocolVersion) {
+    return std::nullopt;
+  }
+  GossipMessage message;
+  std::optional<membership::Member> sender = membership::MemberFromJson(fields.Object("sender"));
+  if (!sender || !aValue["digest"].isUInt64()) {
+    return std::nullopt;
+  }
+  message.sender = *sender;
+  message.digest = aValue["digest"].asUInt64();
+  for (const Json::Value& entry : fields.List("rumours")) {
+    std::optional<membership::Member> rumour = membership::MemberFromJson(entry);
+    if (!rumour) {
+      return std::nullopt;
+    }
+    message.rumours.push_back(*rumour);
+  }
+  for (const Json::Value& entry : fields.List("leaving")) {
+    model::Fields server(entry);
+    message.leaving.push_back(LeavingServer{ .server = server.Text("server"),
+                                             .remaining = base::Duration(server.Integer("us")) });
+    if (!server.Ok()) {
+      return std::nullopt;
+    }
+  }
+  for (const Json::Value& entry : fields.List("condemned")) {
+    model::Fields condemned(entry);
+    if (!entry.isObject() || !entry["fingerprint"].isUInt64()) {
+      return std::nullopt;
+    }
+    message.condemned.push_back(
+      quarantine::Condemned{ .fingerprint = entry["fingerprint"].asUInt64(),
+                             .remaining = base::Duration(condemned.Integer("us")) });
+    if (!condemned.Ok()) {
+      return std::nullopt;
+    }
+  }
+  return fields.Ok() ? std::optional(message) : std::nullopt;
+}
+
+} // namespace sapphirewind::tier
--- /dev/null
+++ b/libs/tier/src/ObjectCache.cpp
@@ -0,0 +1,69 @@
+#include <tier/ObjectCache.h>
+
+#include <base/Random.h>
+
+namespace sapphirewind::tier {
+
+bool
+ObjectCache::Offer(const std::string& aName, const platform::Versioned& aObject)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  auto found = this->objects.find(aName);
+  if (found != this->objects.end() && found->second.version >= aObject.version) {
+    return false;
+  }
+  this->objects[aName] = aObject;
+  return true;
+}
+
+std::optional<platform::Versioned>
+ObjectCache::Get(const std::string& aName) const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  auto found = this->objects.find(aName);
+  return found == this->objects.end() ? std::nullopt : std::optional(found->second);
+}
+
+uint64_t
+ObjectCache::VersionOf(const std::string& aName) const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  auto found = this->objects.find(aName);
+  return found == this->objects.end() ? 0 : found->second.version;
+}
+
+std::vector<platform::Change>
+ObjectCache::Versions() const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<platform::Change> versions;
+  for (const auto& [name, object] : this->objects) {
+    versions.push_back(platform::Change{ .name = name, .version = object.version });
+  }
+  return versions;
+}
+
+std::vector<platform::Versioned>
+ObjectCache::Under(const std::string& aPrefix) const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<platform::Versioned> found;
+  for (const auto& [name, object] : this->objects) {
+    if (name.starts_with(aPrefix)) {
+      found.push_back(object);
+    }
+  }
+  return found;
+}
+
+uint64_t
+ObjectCache::Digest() const
+{
+  uint64_t digest = 0;
+  for (const platform::Change& entry : this->Versions()) {
+    digest = base::HashMore(digest, entry.name + "@" + std::to_string(entry.version));
+  }
+  return digest;
+}
+
+} // namespace sapphirewind::tier
--- /dev/null
+++ b/libs/tier/src/PlatformFollower.cpp
@@ -0,0 +1,119 @@
+#include <tier/PlatformFollower.h>
+
+#include <algorithm>
+#include <telemetry/Events.h>
+
+namespace sapphirewind::tier {
+
+namespace {
+
+constexpr base::Duration kWatchWait = std::chrono::seconds(4);
+constexpr base::Duration kShortestPoll = std::chrono::seconds(5);
+/// Looks a second of all instances that do not watch.
+constexpr double kPollsPerSecond = 20.0;
+constexpr base::Duration kFirstBackoff = std::chrono::milliseconds(200);
+constexpr base::Duration kLongestBackoff = std::chrono::seconds(5);
+constexpr size_t kMaxDoublings = 5;
+
+} // namespace
+
+base::Duration
+SlowPollInterval(size_t aFleet)
+{
+  auto interval = std::chrono::duration<double>(static_cast<double>(aFleet) / kPollsPerSecond);
+  return std::max(kShortestPoll, std::chrono::duration_cast<base::Duration>(interval));
+}
+
+base::Duration
+BackoffAfter(size_t aFailures, base::Random& aRandom)
+{
+  size_t doublings = std::min(aFailures > 0 ? aFailures - 1 : 0, kMaxDoublings);
+  base::Duration span = std::min(kFirstBackoff * (1 << doublings), kLongestBackoff);
+  double jitter = 0.5 + base::UniformUnit(aRandom);
+  return base::Duration(static_cast<int64_t>(static_cast<double>(span.count()) * jitter));
+}
+
+PlatformFollower::PlatformFollower(FollowerContext aContext)
+  : context(std::move(aContext))
+{
+}
+
+void
+PlatformFollower::OnAnswer(bool aAnswered)
+{
+  if (aAnswered) {
+    if (this->unreachableSince.exchange(0) != 0) {
+      telemetry::Log(telemetry::Event::StoreBack, {});
+    }
+    this->failures = 0;
+    return;
+  }
+  ++this->failures;
+  if (this->unreachableSince == 0) {
+    this->unreachableSince = base::Now().time_since_epoch().count();
+    telemetry::Log(telemetry::Event::StoreLost, {});
+  }
+}
+
+bool
+PlatformFollower::ReadChanges(const platform::WatchAnswer& aAnswer)
+{
+  bool news = false;
+  bool complete = true;
+  for (const platform::Change& change : aAnswer.changes) {
+    if (change.version <= this->context.objects.VersionOf(change.name)) {
+      continue;
+    }
+    ++this->context.counters.storeCalls;
+    base::Result<platform::Versioned> object = this->context.store.Read(change.name);
+    if (!object) {
+      complete = false;
+      continue;
+    }
+    news = this->context.objects.Offer(change.name, *object) || news;
+    // An old read after the news: ask again from the same point.
+    complete = complete && object->version >= change.version;
+  }
+  if (news) {
+    this->context.onChange();
+  }
+  return complete;
+}
+
+base::Duration
+PlatformFollower::Step(bool aWatcher, size_t aFleet, base::Random& aRandom)
+{
+  base::Instant asked = base::Now();
+  bool stale = this->context.freshness.IsStale();
+  bool list = !aWatcher || stale || this->revision == 0;
+  ++this->context.counters.storeCalls;
+  base::Result<platform::WatchAnswer> answer = this->context.store.Watch(
+    platform::kFollowedPrefix, list ? 0 : this->revision, list ? base::Duration(0) : kWatchWait);
+  this->OnAnswer(static_cast<bool>(answer));
+  if (!answer) {
+    return BackoffAfter(this->failures, aRandom);
+  }
+  bool complete = this->ReadChanges(*answer);
+  if (list) {
+    this->context.freshness.OnRefreshed(asked);
+  }
+  if (!complete) {
+    return BackoffAfter(1, aRandom);
+  }
+  this->revision = answer->revision;
+  if (aWatcher) {
+    return base::Duration(0);
+  }
+  double jitter = 0.75 + 0.5 * base::UniformUnit(aRandom);
+  auto interval = static_cast<double>(SlowPollInterval(aFleet).count()) * jitter;
+  return base::Duration(static_cast<int64_t>(interval));
+}
+
+std::optional<base::Instant>
+PlatformFollower::UnreachableSince() const
+{
+  int64_t since = this->unreachableSince;
+  return since == 0 ? std::nullopt : std::optional(base::Instant(base::Duration(since)));
+}
+
+} // namespace sapphirewind::tier
--- /dev/null
+++ b/libs/tier/src/Shared.cpp
@@ -0,0 +1,106 @@
+#include <tier/Shared.h>
+
+#include <telemetry/Events.h>
+
+#include <algorithm>
+#include <base/Random.h>
+
+namespace sapphirewind::tier {
+
+namespace {
+constexpr size_t kHarmlessPerGeneration = 50'000;
+}
+
+quarantine::Standing
+SharedQuarantine::StandingOf(quarantine::Fingerprint aFingerprint, base::Instant aNow) const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return quarantine::StandingOf(this->reg, aFingerprint, aNow);
+}
+
+quarantine::Standing
+SharedQuarantine::OnServerLost(quarantine::Fingerprint aFingerprint,
+                               const std::string& aServer,
+                               bool aRanAlone,
+                               base::Instant aNow)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  this->harmlessYoung.erase(aFingerprint);
+  this->harmlessOld.erase(aFingerprint);
+  quarantine::Standing standing =
+    quarantine::OnServerLost(this->reg, aFingerprint, aServer, aRanAlone, aNow);
+  bool condemned = standing == quarantine::Standing::Condemned;
+  telemetry::Log(condemned ? telemetry::Event::RequestCondemned : telemetry::Event::RequestSuspect,
+                 { { "fingerprint", base::ToHex(aFingerprint) }, { "server", aServer } });
+  return standing;
+}
+
+void
+SharedQuarantine::OnAnswered(quarantine::Fingerprint aFingerprint, base::Instant aNow)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  if (quarantine::StandingOf(this->reg, aFingerprint, aNow) == quarantine::Standing::Suspect) {
+    quarantine::OnAnswered(this->reg, aFingerprint);
+    telemetry::Log(telemetry::Event::RequestCleared, { { "fingerprint", base::ToHex(aFingerprint) } });
+  }
+  if (this->harmlessYoung.size() >= kHarmlessPerGeneration) {
+    this->harmlessOld = std::move(this->harmlessYoung);
+    this->harmlessYoung.clear();
+  }
+  this->harmlessYoung.insert(aFingerprint);
+}
+
+void
+SharedQuarantine::OnPeerCondemned(const quarantine::Condemned& aCondemned, base::Instant aNow)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  quarantine::OnPeerCondemned(this->reg, aCondemned.fingerprint, aCondemned.remaining, aNow);
+}
+
+std::vector<quarantine::Condemned>
+SharedQuarantine::ListCondemned(base::Instant aNow) const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return quarantine::ListCondemned(this->reg, aNow);
+}
+
+bool
+SharedQuarantine::IsKnownHarmless(quarantine::Fingerprint aFingerprint) const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return this->harmlessYoung.count(aFingerprint) || this->harmlessOld.count(aFingerprint);
+}
+
+bool
+LeavingServers::Note(const std::string& aServer, base::Duration aRemaining, base::Instant aNow)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  base::Instant end = aNow + std::min(aRemaining, base::Duration(kLeavingTime));
+  auto [entry, added] = this->until.try_emplace(aServer, end);
+  bool news = added || entry->second <= aNow;
+  entry->second = std::max(entry->second, end);
+  return news;
+}
+
+bool
+LeavingServers::IsLeaving(const std::string& aServer, base::Instant aNow) const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  auto found = this->until.find(aServer);
+  return found != this->until.end() && aNow < found->second;
+}
+
+std::vector<LeavingServer>
+LeavingServers::List(base::Instant aNow) const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<LeavingServer> list;
+  for (const auto& [server, end] : this->until) {
+    if (aNow < end) {
+      list.push_back(LeavingServer{ .server = server, .remaining = end - aNow });
+    }
+  }
+  return list;
+}
+
+} // namespace sapphirewind::tier
