--- /dev/null
+++ b/fakes/include/fakes/PlatformCore.h
@@ -0,0 +1,86 @@
+/// @file A stand-in for the platform's object API, in memory, with faults on command.
+#pragma once
+
+#include <base/Time.h>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <platform/Store.h>
+#include <string>
+#include <vector>
+
+namespace sapphirewind::fakes {
+
+/// What goes wrong at the moment.
+struct PlatformFaults
+{
+  bool down = false;
+  /// Added to every call.
+  base::Duration delay{ 0 };
+  /// Writes that take effect and whose answer is lost, still to come.
+  size_t loseAnswers = 0;
+  /// Reads serve what stood this long ago.
+  base::Duration staleBy{ 0 };
+  /// Lists of instances and servers lag by this, in reads and watches.
+  base::Duration listLag{ 0 };
+};
+
+/// Calls since the start; a waiting watch counts as one.
+struct PlatformCalls
+{
+  uint64_t reads = 0;
+  uint64_t writes = 0;
+  uint64_t watches = 0;
+  /// The most calls in any one second.
+  uint64_t peakPerSecond = 0;
+};
+
+/// Thread-safe.
+class PlatformCore final : public platform::Store
+{
+public:
+  base::Result<platform::Versioned> Read(const std::string& aName) override;
+  base::Result<uint64_t> Write(const std::string& aName,
+                               const Json::Value& aValue,
+                               uint64_t aExpectedVersion) override;
+  base::Result<platform::WatchAnswer> Watch(const std::string& aPrefix,
+                                            uint64_t aAfterRevision,
+                                            base::Duration aWait) override;
+
+  void SetFaults(const PlatformFaults& aFaults);
+  PlatformFaults Faults() const;
+  PlatformCalls Calls() const;
+
+  /// Writes whatever the version, past all faults; for setting a scene.
+  void Force(const std::string& aName, const Json::Value& aValue);
+
+private:
+  struct Entry
+  {
+    uint64_t version = 0;
+    uint64_t revision = 0;
+    base::Instant at{};
+    Json::Value value;
+  };
+  using History = std::vector<Entry>;
+
+  bool BeginCall(uint64_t PlatformCalls::*aCounter);
+  base::Duration LagOf(const std::string& aName) const;
+  const Entry* Visible(const std::string& aName, base::Duration aLag, base::Instant aNow) const;
+  uint64_t Store(const std::string& aName, const Json::Value& aValue);
+  platform::WatchAnswer Collect(const std::string& aPrefix,
+                                uint64_t aAfter,
+                                base::Instant aNow) const;
+
+  mutable std::mutex mutex;
+  std::condition_variable changed;
+  std::map<std::string, History> objects;
+  uint64_t revision = 0;
+  PlatformFaults faults;
+  PlatformCalls calls;
+  base::Instant secondStart{};
+  uint64_t secondCalls = 0;
+};
+
+} // namespace sapphirewind::fakes
--- /dev/null
+++ b/fakes/include/fakes/PlatformServer.h
@@ -0,0 +1,24 @@
+/// @file The platform stand-in behind HTTP, with a control interface for faults.
+#pragma once
+
+#include <fakes/PlatformCore.h>
+#include <net/Server.h>
+
+namespace sapphirewind::fakes {
+
+/// Serves /v1/objects and /v1/watch for the tier, /control for the one who sets the scene.
+class PlatformServer
+{
+public:
+  explicit PlatformServer(net::Endpoint aListen);
+
+  std::error_code Start();
+  uint16_t Port() const { return this->server.Port(); }
+  PlatformCore& Core() { return this->core; }
+
+private:
+  PlatformCore core;
+  net::Server server;
+};
+
+} // namespace sapphirewind::fakes
--- /dev/null
+++ b/fakes/src/PlatformCore.cpp
@@ -0,0 +1,193 @@
+#include <fakes/PlatformCore.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace sapphirewind::fakes {
+
+namespace {
+
+/// Old values kept for stale reads.
+constexpr size_t kHistory = 64;
+constexpr base::Duration kLagCheck = std::chrono::milliseconds(20);
+
+base::Failure
+Unavailable()
+{
+  return base::Failure{ .code = platform::Errc::Unavailable, .detail = "stand-in fault" };
+}
+
+bool
+IsList(const std::string& aName)
+{
+  return aName == platform::kInstancesObject || aName.starts_with(platform::kServersPrefix);
+}
+
+} // namespace
+
+bool
+PlatformCore::BeginCall(uint64_t PlatformCalls::*aCounter)
+{
+  base::Duration delay;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    ++(this->calls.*aCounter);
+    base::Instant now = base::Now();
+    if (now - this->secondStart >= std::chrono::seconds(1)) {
+      this->secondStart = now;
+      this->secondCalls = 0;
+    }
+    ++this->secondCalls;
+    this->calls.peakPerSecond = std::max(this->calls.peakPerSecond, this->secondCalls);
+    delay = this->faults.delay;
+  }
+  std::this_thread::sleep_for(delay);
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return !this->faults.down;
+}
+
+base::Duration
+PlatformCore::LagOf(const std::string& aName) const
+{
+  base::Duration lag = this->faults.staleBy;
+  return IsList(aName) ? std::max(lag, this->faults.listLag) : lag;
+}
+
+const PlatformCore::Entry*
+PlatformCore::Visible(const std::string& aName, base::Duration aLag, base::Instant aNow) const
+{
+  auto found = this->objects.find(aName);
+  if (found == this->objects.end()) {
+    return nullptr;
+  }
+  const History& history = found->second;
+  for (auto entry = history.rbegin(); entry != history.rend(); ++entry) {
+    if (aLag.count() == 0 || aNow - entry->at >= aLag) {
+      return &*entry;
+    }
+  }
+  return &history.front();
+}
+
+uint64_t
+PlatformCore::Store(const std::string& aName, const Json::Value& aValue)
+{
+  History& history = this->objects[aName];
+  uint64_t version = history.empty() ? 1 : history.back().version + 1;
+  history.push_back(
+    Entry{ .version = version, .revision = ++this->revision, .at = base::Now(), .value = aValue });
+  if (history.size() > kHistory) {
+    history.erase(history.begin());
+  }
+  this->changed.notify_all();
+  return version;
+}
+
+base::Result<platform::Versioned>
+PlatformCore::Read(const std::string& aName)
+{
+  if (!this->BeginCall(&PlatformCalls::reads)) {
+    return Unavailable();
+  }
+  std::lock_guard<std::mutex> lock(this->mutex);
+  const Entry* entry = this->Visible(aName, this->LagOf(aName), base::Now());
+  if (!entry) {
+    return base::Failure{ .code = platform::Errc::NotFound, .detail = aName };
+  }
+  return platform::Versioned{ .version = entry->version, .value = entry->value };
+}
+
+base::Result<uint64_t>
+PlatformCore::Write(const std::string& aName, const Json::Value& aValue, uint64_t aExpectedVersion)
+{
+  if (!this->BeginCall(&PlatformCalls::writes)) {
+    return Unavailable();
+  }
+  std::lock_guard<std::mutex> lock(this->mutex);
+  auto found = this->objects.find(aName);
+  uint64_t current =
+    found == this->objects.end() ? platform::kAbsent : found->second.back().version;
+  if (current != aExpectedVersion) {
+    return base::Failure{ .code = platform::Errc::Conflict, .detail = aName };
+  }
+  uint64_t version = this->Store(aName, aValue);
+  if (this->faults.loseAnswers > 0) {
+    --this->faults.loseAnswers;
+    return Unavailable();
+  }
+  return version;
+}
+
+platform::WatchAnswer
+PlatformCore::Collect(const std::string& aPrefix, uint64_t aAfter, base::Instant aNow) const
+{
+  platform::WatchAnswer answer{ .revision = aAfter, .changes = {} };
+  for (const auto& [name, history] : this->objects) {
+    if (!name.starts_with(aPrefix)) {
+      continue;
+    }
+    const Entry* entry = this->Visible(name, this->LagOf(name), aNow);
+    if (entry->revision > aAfter) {
+      answer.changes.push_back(platform::Change{ .name = name, .version = entry->version });
+    }
+    answer.revision = std::max(answer.revision, entry->revision);
+  }
+  return answer;
+}
+
+base::Result<platform::WatchAnswer>
+PlatformCore::Watch(const std::string& aPrefix, uint64_t aAfterRevision, base::Duration aWait)
+{
+  if (!this->BeginCall(&PlatformCalls::watches)) {
+    return Unavailable();
+  }
+  base::Instant end = base::Now() + aWait;
+  std::unique_lock<std::mutex> lock(this->mutex);
+  while (true) {
+    if (this->faults.down) {
+      return Unavailable();
+    }
+    base::Instant now = base::Now();
+    platform::WatchAnswer answer = this->Collect(aPrefix, aAfterRevision, now);
+    // While lists lag, a later revision may become visible before an earlier one, so the watch is
+    // told to go on from the point that hides nothing.
+    if (this->faults.listLag.count() > 0) {
+      answer.revision = aAfterRevision;
+    }
+    if (!answer.changes.empty() || now >= end) {
+      return answer;
+    }
+    this->changed.wait_until(lock, std::min(end, now + kLagCheck));
+  }
+}
+
+void
+PlatformCore::SetFaults(const PlatformFaults& aFaults)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  this->faults = aFaults;
+  this->changed.notify_all();
+}
+
+PlatformFaults
+PlatformCore::Faults() const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return this->faults;
+}
+
+PlatformCalls
+PlatformCore::Calls() const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return this->calls;
+}
+
+void
+PlatformCore::Force(const std::string& aName, const Json::Value& aValue)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  this->Store(aName, aValue);
+}
+
+} // namespace sapphirewind::fakes
--- a/libs/admission/include/admission/ConcurrencyLimit.h
+++ b/libs/admission/include/admission/ConcurrencyLimit.h
@@ -6,8 +6,8 @@
 
 namespace sapphirewind::admission {
 
-/// The state of the adaptive limit. Additive increase while waits are short, multiplicative decrease
-/// when they are long.
+/// The state of the adaptive limit. Additive increase while waits are short, multiplicative
+/// decrease when they are long.
 struct ConcurrencyLimit
 {
   double limit = 16.0;
@@ -33,7 +33,8 @@
            size_t aInFlight,
            base::Instant aNow);
 
-/// The part of the limit that a rank may fill, so that urgent work finds room when the others flood.
+/// The part of the limit that a rank may fill, so that urgent work finds room when the others
+/// flood.
 double
 ShareOfLimit(model::Rank aRank);
 
--- a/libs/admission/include/admission/RankQueue.h
+++ b/libs/admission/include/admission/RankQueue.h
@@ -1,4 +1,5 @@
-/// @file A queue that serves urgent work first, keeps each class's floor, and drops what is too late.
+/// @file A queue that serves urgent work first, keeps each class's floor, and drops what is too
+/// late.
 #pragma once
 
 #include <base/Time.h>
@@ -51,8 +52,8 @@
   /// Takes out what cannot be answered in time any more, given the least time the work takes.
   std::vector<WorkItem> DropLate(base::Instant aNow, base::Duration aLeastTime);
 
-  /// Takes out the item that should give way when the queue is full: the lowest rank, latest deadline.
-  /// Empty when nothing waits that ranks lower than aRank.
+  /// Takes out the item that should give way when the queue is full: the lowest rank, latest
+  /// deadline. Empty when nothing waits that ranks lower than aRank.
   std::optional<WorkItem> EvictBelow(model::Rank aRank);
 
   size_t Size() const { return this->count; }
--- a/libs/admission/src/RankQueue.cpp
+++ b/libs/admission/src/RankQueue.cpp
@@ -13,7 +13,8 @@
   if (aElapsed.count() <= 0) {
     return 1.0;
   }
-  return std::exp(-static_cast<double>(aElapsed.count()) / static_cast<double>(kShareWindow.count()));
+  return std::exp(-static_cast<double>(aElapsed.count()) /
+                  static_cast<double>(kShareWindow.count()));
 }
 
 } // namespace
--- a/libs/base/include/base/Random.h
+++ b/libs/base/include/base/Random.h
@@ -1,4 +1,5 @@
-/// @file Randomness and hashing. Decisions take a Random as an argument, so that a seed replays them.
+/// @file Randomness and hashing. Decisions take a Random as an argument, so that a seed replays
+/// them.
 #pragma once
 
 #include <cstdint>
--- a/libs/base/src/Random.cpp
+++ b/libs/base/src/Random.cpp
@@ -20,7 +20,8 @@
 double
 UnitFromHash(uint64_t aHash)
 {
-  return static_cast<double>(aHash >> (64 - kMantissaBits)) / static_cast<double>(1ULL << kMantissaBits);
+  return static_cast<double>(aHash >> (64 - kMantissaBits)) /
+         static_cast<double>(1ULL << kMantissaBits);
 }
 
 double
--- a/libs/claims/include/claims/Bucket.h
+++ b/libs/claims/include/claims/Bucket.h
@@ -1,8 +1,9 @@
 /// @file Claims: the record that lets a request with side effects run at most once.
 ///
 /// A claim is an entry in a bucket object of the platform's store. All changes to a bucket are
-/// conditional writes, and each operation carries its holder's nonce, so that applying one twice is the
-/// same as applying it once. An answer lost after the write took effect is settled by reading the nonce.
+/// conditional writes, and each operation carries its holder's nonce, so that applying one twice is
+/// the same as applying it once. An answer lost after the write took effect is settled by reading
+/// the nonce.
 #pragma once
 
 #include <cstdint>
@@ -45,9 +46,9 @@
 /// What is asked of a bucket.
 enum class OperationKind
 {
-  Take,    ///< Claim a key.
-  Settle,  ///< Record the outcome. Only the holder's nonce can.
-  GiveUp   ///< Remove a claim that was never sent. Only the holder's nonce can.
+  Take,   ///< Claim a key.
+  Settle, ///< Record the outcome. Only the holder's nonce can.
+  GiveUp  ///< Remove a claim that was never sent. Only the holder's nonce can.
 };
 
 struct Operation
--- a/libs/claims/src/Bucket.cpp
+++ b/libs/claims/src/Bucket.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr std::array<Verdict, 7> kVerdicts = { Verdict::Granted,   Verdict::Replay,   Verdict::InDoubt,
-                                               Verdict::KeyReused, Verdict::Full,     Verdict::Recorded,
+constexpr std::array<Verdict, 7> kVerdicts = { Verdict::Granted,  Verdict::Replay,
+                                               Verdict::InDoubt,  Verdict::KeyReused,
+                                               Verdict::Full,     Verdict::Recorded,
                                                Verdict::NotHolder };
 constexpr const char* kOperationTexts[] = { "take", "settle", "give_up" };
 
@@ -211,7 +212,8 @@
   model::Fields fields(aValue);
   std::string kindText = fields.Text("kind");
   std::optional<OperationKind> kind;
-  for (OperationKind candidate : { OperationKind::Take, OperationKind::Settle, OperationKind::GiveUp }) {
+  for (OperationKind candidate :
+       { OperationKind::Take, OperationKind::Settle, OperationKind::GiveUp }) {
     if (kindText == kOperationTexts[static_cast<size_t>(candidate)]) {
       kind = candidate;
     }
--- a/libs/config/include/config/AlertState.h
+++ b/libs/config/include/config/AlertState.h
@@ -34,8 +34,8 @@
 bool
 Matches(const AlertRule& aRule, const Figure& aFigure);
 
-/// The status of every rule now. A rule fires when any matching figure has been beyond its threshold for
-/// the hold time; no matching figure means that it does not hold.
+/// The status of every rule now. A rule fires when any matching figure has been beyond its
+/// threshold for the hold time; no matching figure means that it does not hold.
 std::vector<AlertStatus>
 EvaluateAlerts(const std::vector<AlertRule>& aRules,
                const std::vector<Figure>& aFigures,
--- a/libs/config/include/config/Configuration.h
+++ b/libs/config/include/config/Configuration.h
@@ -66,7 +66,8 @@
   const RequestClass* FindClass(std::string_view aName) const;
 };
 
-/// Parses and checks a configuration. On any problem nothing is returned and every problem is noted.
+/// Parses and checks a configuration. On any problem nothing is returned and every problem is
+/// noted.
 std::optional<Configuration>
 ParseConfiguration(std::string_view aText, document::Problems& aProblems);
 
--- a/libs/config/include/config/Settings.h
+++ b/libs/config/include/config/Settings.h
@@ -1,4 +1,5 @@
-/// @file The settings of one instance: its own name, place and addresses, and the platform's address.
+/// @file The settings of one instance: its own name, place and addresses, and the platform's
+/// address.
 #pragma once
 
 #include <base/Time.h>
--- a/libs/config/src/AlertState.cpp
+++ b/libs/config/src/AlertState.cpp
@@ -9,7 +9,8 @@
 bool
 IsBeyond(const AlertRule& aRule, double aValue)
 {
-  return aRule.comparison == Comparison::Above ? aValue > aRule.threshold : aValue < aRule.threshold;
+  return aRule.comparison == Comparison::Above ? aValue > aRule.threshold
+                                               : aValue < aRule.threshold;
 }
 
 /// The matching figure that is furthest beyond the threshold; null when none matches.
--- a/libs/config/src/Configuration.cpp
+++ b/libs/config/src/Configuration.cpp
@@ -19,9 +19,12 @@
 std::string
 ExplainUnknownKey(const std::string& aName)
 {
-  static const std::set<std::string> kWeights = { "weight", "weights", "priority_weight", "ratio", "percent" };
-  static const std::set<std::string> kAddresses = { "address", "addresses", "host", "hosts", "ip",
-                                                    "port",    "endpoint",  "servers", "upstreams", "url" };
+  static const std::set<std::string> kWeights = {
+    "weight", "weights", "priority_weight", "ratio", "percent"
+  };
+  static const std::set<std::string> kAddresses = { "address",   "addresses", "host",     "hosts",
+                                                    "ip",        "port",      "endpoint", "servers",
+                                                    "upstreams", "url" };
   if (kWeights.count(aName)) {
     return "weights cannot be set; state a target (answer_within, least_coverage, keeps_in_flood)";
   }
@@ -48,7 +51,8 @@
     aReader.Complain("answer_within", "longer than the longest target, 1h");
   }
   if (aClass.forShare > kHighestShare) {
-    aReader.Complain("for_share", "unreachable: at most \"99.99%\" of requests can be promised a time");
+    aReader.Complain("for_share",
+                     "unreachable: at most \"99.99%\" of requests can be promised a time");
   }
   if (aClass.forShare < 0.5) {
     aReader.Complain("for_share", "a target for less than \"50%\" of requests promises nothing");
@@ -101,8 +105,9 @@
       aProblems.push_back(document::Problem{
         .line = aDocument.LineOf(aClasses),
         .path = "classes",
-        .message = "the classes of service \"" + service +
-                   "\" keep more than 90% in a flood together; nothing would be left for urgent work" });
+        .message =
+          "the classes of service \"" + service +
+          "\" keep more than 90% in a flood together; nothing would be left for urgent work" });
     }
   }
 }
@@ -157,9 +162,10 @@
 AlertableMetrics()
 {
   static const std::vector<std::string> kNames = {
-    "request_latency_p50_ms", "request_latency_p99_ms", "request_late_share",  "request_coverage",
-    "request_refused_share",  "request_rate",           "upstream_extra_share", "store_unreachable_s",
-    "members_serving",        "servers_ejected",        "suspects_quarantined", "configuration_age_s",
+    "request_latency_p50_ms", "request_latency_p99_ms", "request_late_share",
+    "request_coverage",       "request_refused_share",  "request_rate",
+    "upstream_extra_share",   "store_unreachable_s",    "members_serving",
+    "servers_ejected",        "suspects_quarantined",   "configuration_age_s",
   };
   return kNames;
 }
--- a/libs/membership/include/membership/View.h
+++ b/libs/membership/include/membership/View.h
@@ -70,8 +70,8 @@
   base::Duration forgetTime = std::chrono::seconds(60);
 };
 
-/// Takes in the platform's list, which lags: it adds instances not heard of before and marks leaving
-/// ones; what was heard from an instance itself goes first.
+/// Takes in the platform's list, which lags: it adds instances not heard of before and marks
+/// leaving ones; what was heard from an instance itself goes first.
 void
 ApplyPlatformList(View& aView, const std::vector<model::InstanceRecord>& aList, base::Instant aNow);
 
@@ -98,8 +98,8 @@
 std::vector<Member>
 TakeRumours(View& aView, size_t aMost);
 
-/// Takes in records heard from another. Returns the names that changed. A rumour against this instance
-/// itself is refuted by raising its incarnation.
+/// Takes in records heard from another. Returns the names that changed. A rumour against this
+/// instance itself is refuted by raising its incarnation.
 std::vector<std::string>
 MergeRumours(View& aView, const std::vector<Member>& aRumours, base::Instant aNow);
 
@@ -107,8 +107,8 @@
 std::vector<std::string>
 Serving(const View& aView, const std::string& aRegion);
 
-/// Whether this instance watches the platform for its availability zone: the first few in rendezvous
-/// order do, the rest hear from peers.
+/// Whether this instance watches the platform for its availability zone: the first few in
+/// rendezvous order do, the rest hear from peers.
 bool
 IsWatcher(const View& aView, size_t aWatchersPerZone);
 
--- a/libs/membership/src/View.cpp
+++ b/libs/membership/src/View.cpp
@@ -178,7 +178,8 @@
   std::erase_if(aView.others, [&](const auto& aEntry) {
     bool gone = aEntry.second.member.state == MemberState::Dead ||
                 aEntry.second.member.state == MemberState::Leaving;
-    return gone && aNow - std::max(aEntry.second.changedAt, aEntry.second.heardAt) >= aTiming.forgetTime;
+    return gone &&
+           aNow - std::max(aEntry.second.changedAt, aEntry.second.heardAt) >= aTiming.forgetTime;
   });
   return changed;
 }
@@ -193,11 +194,10 @@
       candidates.push_back(&known);
     }
   }
-  std::stable_sort(candidates.begin(),
-                   candidates.end(),
-                   [](const KnownMember* aLeft, const KnownMember* aRight) {
-                     return aLeft->timesSent < aRight->timesSent;
-                   });
+  std::stable_sort(
+    candidates.begin(), candidates.end(), [](const KnownMember* aLeft, const KnownMember* aRight) {
+      return aLeft->timesSent < aRight->timesSent;
+    });
   candidates.resize(std::min(aMost, candidates.size()));
   std::vector<Member> rumours;
   for (KnownMember* known : candidates) {
--- a/libs/model/include/model/Work.h
+++ b/libs/model/include/model/Work.h
@@ -87,4 +87,5 @@
 
 template<>
 struct std::is_error_code_enum<sapphirewind::model::Errc> : std::true_type
-{};
+{
+};
--- a/libs/model/src/Peer.cpp
+++ b/libs/model/src/Peer.cpp
@@ -169,7 +169,8 @@
   request.canary = fields.Flag("canary");
   for (const Json::Value& entry : fields.List("groups")) {
     Fields task(entry);
-    request.groups.push_back(GroupTask{ .group = task.Text("group"), .shards = task.Texts("shards") });
+    request.groups.push_back(
+      GroupTask{ .group = task.Text("group"), .shards = task.Texts("shards") });
     if (!task.Ok()) {
       return std::nullopt;
     }
--- a/libs/model/src/Search.cpp
+++ b/libs/model/src/Search.cpp
@@ -60,7 +60,8 @@
 double
 Coverage::Share() const
 {
-  return this->total == 0 ? 0.0 : static_cast<double>(this->answered) / static_cast<double>(this->total);
+  return this->total == 0 ? 0.0
+                          : static_cast<double>(this->answered) / static_cast<double>(this->total);
 }
 
 Coverage
--- a/libs/net/include/net/Message.h
+++ b/libs/net/include/net/Message.h
@@ -83,4 +83,5 @@
 
 template<>
 struct std::is_error_code_enum<sapphirewind::net::Errc> : std::true_type
-{};
+{
+};
--- a/libs/net/include/net/Server.h
+++ b/libs/net/include/net/Server.h
@@ -46,6 +46,9 @@
   /// Connections open at this moment.
   size_t OpenConnections() const;
 
+  /// Stops listening without waiting: new connections are refused, open ones live on.
+  void StopListening();
+
   /// Stops listening, lets handlers that run finish, closes idle connections.
   void Stop();
 
--- a/libs/net/src/Message.cpp
+++ b/libs/net/src/Message.cpp
@@ -29,7 +29,9 @@
 bool
 EqualWithoutCase(std::string_view aLeft, std::string_view aRight)
 {
-  auto same = [](unsigned char aA, unsigned char aB) { return std::tolower(aA) == std::tolower(aB); };
+  auto same = [](unsigned char aA, unsigned char aB) {
+    return std::tolower(aA) == std::tolower(aB);
+  };
   return std::equal(aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), same);
 }
 
--- a/libs/net/src/Server.cpp
+++ b/libs/net/src/Server.cpp
@@ -18,7 +18,8 @@
 
 constexpr size_t kKeepAliveRequests = 1'000'000'000;
 
-/// Runs each connection on a thread of its own; a fixed pool would let idle connections starve others.
+/// Runs each connection on a thread of its own; a fixed pool would let idle connections starve
+/// others.
 class ThreadPerConnection final : public httplib::TaskQueue
 {
 public:
@@ -124,6 +125,7 @@
   ServerOptions options;
   httplib::Server server;
   std::atomic<size_t> open{ 0 };
+  std::atomic<bool> stopped{ false };
   std::function<void()> onRefused;
   std::thread listener;
   uint16_t port = 0;
@@ -150,10 +152,11 @@
     }
     return RefuseConnection(aOut);
   });
-  server.set_exception_handler([](const httplib::Request&, httplib::Response& aOut, std::exception_ptr) {
-    aOut.status = 500;
-    aOut.set_content(R"({"error":"internal","outcome":"unknown"})", "application/json");
-  });
+  server.set_exception_handler(
+    [](const httplib::Request&, httplib::Response& aOut, std::exception_ptr) {
+      aOut.status = 500;
+      aOut.set_content(R"({"error":"internal","outcome":"unknown"})", "application/json");
+    });
 }
 
 Server::~Server()
@@ -232,10 +235,19 @@
   return this->impl->open.load();
 }
 
+void
+Server::StopListening()
+{
+  // The library's own stop may be called once only.
+  if (!this->impl->stopped.exchange(true)) {
+    this->impl->server.stop();
+  }
+}
+
 void
 Server::Stop()
 {
-  this->impl->server.stop();
+  this->StopListening();
   if (this->impl->listener.joinable()) {
     this->impl->listener.join();
   }
--- /dev/null
+++ b/libs/operations/src/Apply.cpp
@@ -0,0 +1,293 @@
+#include <operations/Apply.h>
+
+#include <algorithm>
+#include <base/ErrorCategory.h>
+#include <config/Configuration.h>
+#include <model/Fields.h>
+
+namespace sapphirewind::operations {
+
+namespace {
+
+/// Entries kept in the configuration object; the rest moves to pages of this size.
+constexpr size_t kEntriesPerPage = 50;
+constexpr const char* kAuditPagePrefix = "audit/page-";
+constexpr const char* kAuditConflicts = "audit/conflicts";
+
+const char*
+DescribeErrc(Errc aError)
+{
+  switch (aError) {
+    case Errc::Invalid:
+      return "the configuration has problems";
+    case Errc::Conflict:
+      return "another operator's change won";
+    case Errc::StoreFailed:
+      return "the platform's store did not answer; nothing was changed by this try";
+    case Errc::InDoubt:
+      return "the fate of the change could not be learnt; look at `audit` before trying again";
+  }
+  return "unknown operations error";
+}
+
+std::optional<AuditEntry>
+EntryFromJson(const Json::Value& aValue)
+{
+  model::Fields fields(aValue);
+  std::string outcome = fields.Text("outcome");
+  AuditEntry entry{ .generation = static_cast<uint64_t>(fields.Integer("generation")),
+                    .fromGeneration = static_cast<uint64_t>(fields.Integer("from")),
+                    .author = fields.Text("author"),
+                    .atMillis = fields.Integer("at"),
+                    .nonce = fields.Text("nonce"),
+                    .outcome =
+                      outcome == "conflict" ? AuditOutcome::Conflict : AuditOutcome::Accepted,
+                    .changes = fields.Texts("changes") };
+  return fields.Ok() ? std::optional(entry) : std::nullopt;
+}
+
+Json::Value
+EntriesToJson(const std::vector<AuditEntry>& aEntries)
+{
+  Json::Value list(Json::arrayValue);
+  for (const AuditEntry& entry : aEntries) {
+    list.append(ToJson(entry));
+  }
+  return list;
+}
+
+std::vector<AuditEntry>
+EntriesFromJson(const Json::Value& aList)
+{
+  std::vector<AuditEntry> entries;
+  for (const Json::Value& value : aList) {
+    if (std::optional<AuditEntry> entry = EntryFromJson(value)) {
+      entries.push_back(std::move(*entry));
+    }
+  }
+  return entries;
+}
+
+Json::Value
+ToJson(const Stored& aStored)
+{
+  Json::Value value;
+  value["text"] = aStored.text;
+  value["author"] = aStored.author;
+  value["nonce"] = aStored.nonce;
+  value["pages"] = static_cast<Json::UInt64>(aStored.pages);
+  value["trail"] = EntriesToJson(aStored.trail);
+  return value;
+}
+
+Stored
+StoredFromJson(const Json::Value& aValue)
+{
+  Stored stored;
+  stored.text = aValue["text"].asString();
+  stored.author = aValue["author"].asString();
+  stored.nonce = aValue["nonce"].asString();
+  stored.pages = aValue["pages"].asUInt64();
+  stored.trail = EntriesFromJson(aValue["trail"]);
+  return stored;
+}
+
+const AuditEntry*
+FindNonce(const std::vector<AuditEntry>& aTrail, const std::string& aNonce)
+{
+  auto found = std::find_if(
+    aTrail.begin(), aTrail.end(), [&](const AuditEntry& aEntry) { return aEntry.nonce == aNonce; });
+  return found == aTrail.end() ? nullptr : &*found;
+}
+
+std::string
+PageName(uint64_t aPage)
+{
+  return kAuditPagePrefix + std::to_string(aPage);
+}
+
+/// Moves the trail's older entries to the next page when it is full. The page is written before the
+/// entries leave the configuration object, so that none is ever missing; one may stand in both, and
+/// readers drop doubles by nonce. False when the page could not be written.
+bool
+TurnPage(platform::Store& aStore, Stored& aStored)
+{
+  if (aStored.trail.size() < 2 * kEntriesPerPage) {
+    return true;
+  }
+  auto middle = aStored.trail.begin() + kEntriesPerPage;
+  std::vector<AuditEntry> older(aStored.trail.begin(), middle);
+  base::Result<uint64_t> written =
+    aStore.Write(PageName(aStored.pages), EntriesToJson(older), platform::kAbsent);
+  if (!written && written.Error().code != platform::Errc::Conflict) {
+    return false;
+  }
+  aStored.trail.erase(aStored.trail.begin(), middle);
+  ++aStored.pages;
+  return true;
+}
+
+void
+RecordConflict(platform::Store& aStore, const AuditEntry& aEntry, const ApplyOptions& aOptions)
+{
+  for (size_t attempt = 0; attempt < aOptions.tries; ++attempt) {
+    base::Result<platform::Versioned> read = aStore.Read(kAuditConflicts);
+    bool absent = !read && read.Error().code == platform::Errc::NotFound;
+    if (!read && !absent) {
+      aOptions.pause();
+      continue;
+    }
+    std::vector<AuditEntry> entries =
+      absent ? std::vector<AuditEntry>() : EntriesFromJson(read->value);
+    if (FindNonce(entries, aEntry.nonce)) {
+      return;
+    }
+    entries.push_back(aEntry);
+    uint64_t version = absent ? platform::kAbsent : read->version;
+    if (aStore.Write(kAuditConflicts, EntriesToJson(entries), version)) {
+      return;
+    }
+    aOptions.pause();
+  }
+}
+
+std::vector<std::string>
+ChangesBetween(const std::string& aBefore, const config::Configuration& aAfter)
+{
+  document::Problems ignored;
+  std::optional<config::Configuration> before = config::ParseConfiguration(aBefore, ignored);
+  return config::DescribeChanges(before.value_or(config::Configuration()), aAfter);
+}
+
+} // namespace
+
+std::error_code
+make_error_code(Errc aError)
+{
+  static const base::EnumCategory<Errc> kCategory("operations", &DescribeErrc);
+  return { static_cast<int>(aError), kCategory };
+}
+
+Json::Value
+ToJson(const AuditEntry& aEntry)
+{
+  Json::Value value;
+  value["generation"] = static_cast<Json::Int64>(aEntry.generation);
+  value["from"] = static_cast<Json::Int64>(aEntry.fromGeneration);
+  value["author"] = aEntry.author;
+  value["at"] = static_cast<Json::Int64>(aEntry.atMillis);
+  value["nonce"] = aEntry.nonce;
+  value["outcome"] = aEntry.outcome == AuditOutcome::Conflict ? "conflict" : "accepted";
+  value["changes"] = model::TextsToJson(aEntry.changes);
+  return value;
+}
+
+base::Result<Current>
+ReadCurrent(platform::Store& aStore)
+{
+  base::Result<platform::Versioned> read = aStore.Read(platform::kConfigurationObject);
+  if (!read && read.Error().code == platform::Errc::NotFound) {
+    return Current{};
+  }
+  if (!read) {
+    return base::Failure{ .code = Errc::StoreFailed, .detail = read.Error().detail };
+  }
+  return Current{ .generation = read->version, .stored = StoredFromJson(read->value) };
+}
+
+base::Result<Applied>
+ApplyConfiguration(platform::Store& aStore,
+                   const std::string& aText,
+                   const ApplyOptions& aOptions,
+                   document::Problems& aProblems,
+                   AuditEntry& aWinner)
+{
+  std::optional<config::Configuration> parsed = config::ParseConfiguration(aText, aProblems);
+  if (!parsed) {
+    return base::Failure{ .code = Errc::Invalid, .detail = "" };
+  }
+  std::optional<uint64_t> from = aOptions.expected;
+  bool mayHaveWritten = false;
+  for (size_t attempt = 0; attempt < aOptions.tries; ++attempt) {
+    base::Result<Current> current = ReadCurrent(aStore);
+    if (!current) {
+      aOptions.pause();
+      continue;
+    }
+    Stored& stored = current->stored;
+    if (const AuditEntry* own = FindNonce(stored.trail, aOptions.nonce)) {
+      return Applied{ .generation = own->generation, .changes = own->changes };
+    }
+    from = from.value_or(current->generation);
+    AuditEntry entry{ .generation = current->generation + 1,
+                      .fromGeneration = *from,
+                      .author = aOptions.author,
+                      .atMillis = aOptions.nowMillis,
+                      .nonce = aOptions.nonce,
+                      .outcome = AuditOutcome::Accepted,
+                      .changes = ChangesBetween(stored.text, *parsed) };
+    // An old read shows a lower generation than the one written over: it is read again.
+    if (current->generation > *from) {
+      aWinner = stored.trail.empty() ? AuditEntry() : stored.trail.back();
+      entry.outcome = AuditOutcome::Conflict;
+      entry.generation = current->generation;
+      RecordConflict(aStore, entry, aOptions);
+      return base::Failure{ .code = Errc::Conflict,
+                            .detail = "generation " + std::to_string(current->generation) + " by " +
+                                      aWinner.author + " won" };
+    }
+    if (!TurnPage(aStore, stored)) {
+      aOptions.pause();
+      continue;
+    }
+    stored.text = aText;
+    stored.author = aOptions.author;
+    stored.nonce = aOptions.nonce;
+    stored.trail.push_back(entry);
+    base::Result<uint64_t> written =
+      aStore.Write(platform::kConfigurationObject, ToJson(stored), current->generation);
+    if (written) {
+      return Applied{ .generation = *written, .changes = entry.changes };
+    }
+    mayHaveWritten = mayHaveWritten || written.Error().code != platform::Errc::Conflict;
+    aOptions.pause();
+  }
+  return base::Failure{ .code = mayHaveWritten ? Errc::InDoubt : Errc::StoreFailed, .detail = "" };
+}
+
+base::Result<std::vector<AuditEntry>>
+ReadAudit(platform::Store& aStore)
+{
+  base::Result<Current> current = ReadCurrent(aStore);
+  if (!current) {
+    return current.Error();
+  }
+  std::vector<AuditEntry> all;
+  auto append = [&](const std::vector<AuditEntry>& aEntries) {
+    for (const AuditEntry& entry : aEntries) {
+      if (!FindNonce(all, entry.nonce)) {
+        all.push_back(entry);
+      }
+    }
+  };
+  std::vector<std::string> pages;
+  for (uint64_t page = 0; page < current->stored.pages; ++page) {
+    pages.push_back(PageName(page));
+  }
+  pages.push_back(kAuditConflicts);
+  for (const std::string& page : pages) {
+    base::Result<platform::Versioned> read = aStore.Read(page);
+    if (read) {
+      append(EntriesFromJson(read->value));
+    } else if (read.Error().code != platform::Errc::NotFound) {
+      return base::Failure{ .code = Errc::StoreFailed, .detail = read.Error().detail };
+    }
+  }
+  append(current->stored.trail);
+  std::stable_sort(all.begin(), all.end(), [](const AuditEntry& aLeft, const AuditEntry& aRight) {
+    return aLeft.atMillis < aRight.atMillis;
+  });
+  return all;
+}
+
+} // namespace sapphirewind::operations
--- a/libs/platform/include/platform/Store.h
+++ b/libs/platform/include/platform/Store.h
@@ -101,4 +101,5 @@
 
 template<>
 struct std::is_error_code_enum<sapphirewind::platform::Errc> : std::true_type
-{};
+{
+};
--- a/libs/platform/src/HttpStore.cpp
+++ b/libs/platform/src/HttpStore.cpp
@@ -100,10 +100,10 @@
   net::Request request{ .method = "PUT",
                         .path = "/v1/objects/" + aName,
                         .body = document::Write(aValue) };
-  net::Header condition = aExpectedVersion == kAbsent
-                            ? net::Header{ .name = "If-None-Match", .value = "*" }
-                            : net::Header{ .name = "If-Match",
-                                           .value = std::to_string(aExpectedVersion) };
+  net::Header condition =
+    aExpectedVersion == kAbsent
+      ? net::Header{ .name = "If-None-Match", .value = "*" }
+      : net::Header{ .name = "If-Match", .value = std::to_string(aExpectedVersion) };
   request.headers.push_back(condition);
   std::string what = "write " + aName;
   base::Result<Json::Value> body = BodyOf(this->pool.Exchange(request, this->timeout), what);
@@ -124,7 +124,8 @@
                                 "&after=" + std::to_string(aAfterRevision) +
                                 "&wait_ms=" + std::to_string(base::ToMillis(aWait)) };
   std::string what = "watch " + aPrefix;
-  base::Result<Json::Value> body = BodyOf(this->pool.Exchange(request, this->timeout + aWait), what);
+  base::Result<Json::Value> body =
+    BodyOf(this->pool.Exchange(request, this->timeout + aWait), what);
   if (!body) {
     return body.Error();
   }
--- a/libs/quarantine/include/quarantine/Quarantine.h
+++ b/libs/quarantine/include/quarantine/Quarantine.h
@@ -1,9 +1,9 @@
 /// @file Which requests are kept from upstreams because upstreams were lost under them.
 ///
-/// A request that was on a server when the server was lost becomes suspect: it is tried again alone.
-/// One that loses a second, different server while it runs there alone is condemned for a stated time.
-/// Requests that merely shared a lost server succeed alone and are cleared, and servers that die
-/// together, as in a rack, condemn nobody.
+/// A request that was on a server when the server was lost becomes suspect: it is tried again
+/// alone. One that loses a second, different server while it runs there alone is condemned for a
+/// stated time. Requests that merely shared a lost server succeed alone and are cleared, and
+/// servers that die together, as in a rack, condemn nobody.
 #pragma once
 
 #include <base/Time.h>
--- a/libs/routing/include/routing/Assignment.h
+++ b/libs/routing/include/routing/Assignment.h
@@ -1,7 +1,7 @@
 /// @file Which instances serve which groups: a pure function of the membership.
 ///
-/// A service's groups are cut into bundles. Each bundle is shared by a few instances, which hold the
-/// queue, the connections and the health of its groups. A query costs one message a bundle.
+/// A service's groups are cut into bundles. Each bundle is shared by a few instances, which hold
+/// the queue, the connections and the health of its groups. A query costs one message a bundle.
 #pragma once
 
 #include <cstddef>
@@ -72,8 +72,8 @@
   std::unordered_map<std::string, GroupRoute> routes;
 };
 
-/// Assigns groups to instances by rendezvous hashing with bounded load: every instance gets at most a
-/// quarter more than an even share, and little moves when an instance comes or goes.
+/// Assigns groups to instances by rendezvous hashing with bounded load: every instance gets at most
+/// a quarter more than an even share, and little moves when an instance comes or goes.
 /// Precondition: aInstances is not empty.
 Assignment
 Assign(std::vector<std::string> aInstances,
--- a/libs/routing/include/routing/Hedge.h
+++ b/libs/routing/include/routing/Hedge.h
@@ -62,7 +62,8 @@
   bool budgetLeft = false;
 };
 
-/// Whether a hedge is due now. Never in overload, never without a learnt delay, never too late to help.
+/// Whether a hedge is due now. Never in overload, never without a learnt delay, never too late to
+/// help.
 bool
 HedgeIsDue(const HedgeInput& aInput, base::Instant aNow);
 
--- a/libs/routing/include/routing/Replica.h
+++ b/libs/routing/include/routing/Replica.h
@@ -1,7 +1,7 @@
 /// @file The state an owner keeps of one upstream server, and the decisions over it.
 ///
-/// What the owner saw itself goes first: work in flight, latency, refusals. A reported load can only
-/// make a server less loved, and counts for a short time.
+/// What the owner saw itself goes first: work in flight, latency, refusals. A reported load can
+/// only make a server less loved, and counts for a short time.
 #pragma once
 
 #include <base/Random.h>
@@ -115,8 +115,8 @@
 void
 BeginSlowStart(Replica& aReplica, base::Instant aNow);
 
-/// Ejects servers that are far slower than the median of the others or keep failing. Never more than
-/// half of those that serve. Returns the indexes newly ejected.
+/// Ejects servers that are far slower than the median of the others or keep failing. Never more
+/// than half of those that serve. Returns the indexes newly ejected.
 std::vector<size_t>
 ReviewEjections(std::span<Replica> aReplicas, base::Instant aNow);
 
--- a/libs/routing/src/Assignment.cpp
+++ b/libs/routing/src/Assignment.cpp
@@ -98,7 +98,8 @@
   assert(aInput.instances > 0 && aInput.groups > 0);
   if (aInput.forcedSharers > 0) {
     size_t sharers = std::min(aInput.forcedSharers, aInput.instances);
-    return BundlePlan{ .bundles = std::max<size_t>(1, aInput.instances / sharers), .sharers = sharers };
+    return BundlePlan{ .bundles = std::max<size_t>(1, aInput.instances / sharers),
+                       .sharers = sharers };
   }
   size_t mostBundles = std::min({ aInput.instances, aInput.groups, kMaxBundles });
   size_t sharers = std::max<size_t>(1, aInput.instances / mostBundles);
--- a/libs/routing/src/Hedge.cpp
+++ b/libs/routing/src/Hedge.cpp
@@ -15,7 +15,8 @@
 constexpr size_t kWindowSamples = 400;
 constexpr size_t kSamplesNeeded = 40;
 
-using Quantile = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::p_square_quantile>>;
+using Quantile =
+  acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::p_square_quantile>>;
 
 Quantile
 MakeQuantile(double aProbability)
--- a/libs/routing/src/Replica.cpp
+++ b/libs/routing/src/Replica.cpp
@@ -153,7 +153,9 @@
     bool home;
     bool tried;
   };
-  constexpr Stage kStages[] = { { true, false }, { false, false }, { true, true }, { false, true } };
+  constexpr Stage kStages[] = {
+    { true, false }, { false, false }, { true, true }, { false, true }
+  };
   for (const Stage& stage : kStages) {
     auto usable = [&](const Replica& aReplica) {
       return aReplica.home == stage.home && WasTried(aReplica, aTried) == stage.tried &&
--- a/libs/rpc/src/Codec.cpp
+++ b/libs/rpc/src/Codec.cpp
@@ -21,7 +21,8 @@
   {
   }
 
-  void SendRPCMessage(const std::string& aMessage, std::string& aResult) throw(jsonrpc::JsonRpcException) override
+  void SendRPCMessage(const std::string& aMessage,
+                      std::string& aResult) throw(jsonrpc::JsonRpcException) override
   {
     if (!this->exchange(aMessage, aResult)) {
       throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, "no answer");
@@ -69,7 +70,8 @@
 struct Dispatcher::Bridge final : jsonrpc::IProcedureInvokationHandler
 {
   Bridge()
-    : protocol(jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2, *this))
+    : protocol(
+        jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2, *this))
   {
   }
 
--- a/libs/telemetry/include/telemetry/Events.h
+++ b/libs/telemetry/include/telemetry/Events.h
@@ -15,7 +15,8 @@
   Error
 };
 
-/// The number of an event never changes meaning; a number that is no longer used is not given again.
+/// The number of an event never changes meaning; a number that is no longer used is not given
+/// again.
 enum class Event
 {
   Started = 100,
--- a/libs/tier/include/tier/BookingService.h
+++ b/libs/tier/include/tier/BookingService.h
@@ -70,9 +70,7 @@
   std::optional<claims::OperationResult> Apply(const World& aWorld,
                                                const claims::Operation& aOperation,
                                                base::Instant aDeadline);
-  void Record(const World& aWorld,
-              const claims::Operation& aOperation,
-              base::Instant aDeadline);
+  void Record(const World& aWorld, const claims::Operation& aOperation, base::Instant aDeadline);
 
   BookingContext context;
 };
--- a/libs/tier/include/tier/CallerApi.h
+++ b/libs/tier/include/tier/CallerApi.h
@@ -1,4 +1,5 @@
-/// @file The HTTP API towards callers: reads requests, writes answers. docs/CALLERS.md describes it.
+/// @file The HTTP API towards callers: reads requests, writes answers. docs/CALLERS.md describes
+/// it.
 #pragma once
 
 #include <model/Search.h>
--- a/libs/tier/include/tier/Cell.h
+++ b/libs/tier/include/tier/Cell.h
@@ -1,7 +1,7 @@
 /// @file The owner's side of one group: its queue, its servers, its connections.
 ///
-/// Worker threads, one for each request that may be in flight, take the next dispatch under the cell's
-/// lock, run the blocking exchange outside it, and conclude under it again.
+/// Worker threads, one for each request that may be in flight, take the next dispatch under the
+/// cell's lock, run the blocking exchange outside it, and conclude under it again.
 #pragma once
 
 #include <admission/RankQueue.h>
@@ -131,7 +131,9 @@
 
   AttemptResult Run(Dispatch& aDispatch);
   void Conclude(Dispatch& aDispatch, AttemptResult aResult, bool aServerGone);
-  void ConcludeSearch(const TicketPointer& aTicket, AttemptResult& aResult, const std::string& aServer);
+  void ConcludeSearch(const TicketPointer& aTicket,
+                      AttemptResult& aResult,
+                      const std::string& aServer);
   void ConcludeBooking(const TicketPointer& aTicket, const AttemptResult& aResult);
   void ConcludeLost(const TicketPointer& aTicket, const std::string& aServer);
   void NoteAtReplica(const LiveAttempt& aAttempt, const AttemptResult& aResult, base::Instant aNow);
@@ -140,7 +142,9 @@
 
   void FinishWhole(const TicketPointer& aTicket, model::AttemptAnswer aAnswer);
   void FinishFailed(const TicketPointer& aTicket, model::Errc aReason);
-  void Finish(const TicketPointer& aTicket, model::GroupAnswer aAnswer, std::vector<model::Hit> aHits);
+  void Finish(const TicketPointer& aTicket,
+              model::GroupAnswer aAnswer,
+              std::vector<model::Hit> aHits);
   void ReleaseCanary(quarantine::Fingerprint aFingerprint);
   void AbortOthers(Ticket& aTicket);
 
--- a/libs/tier/include/tier/CellTable.h
+++ b/libs/tier/include/tier/CellTable.h
@@ -18,7 +18,8 @@
 public:
   CellTable(CellContext& aContext, WorldHolder& aWorld, std::string aSelf);
 
-  /// Runs one query's groups and calls back once with all their ends, at the latest about the deadline.
+  /// Runs one query's groups and calls back once with all their ends, at the latest about the
+  /// deadline.
   void Scatter(const model::ScatterRequest& aRequest,
                base::Instant aDeadline,
                std::function<void(model::ScatterAnswer)> aDone);
--- a/libs/tier/include/tier/Executor.h
+++ b/libs/tier/include/tier/Executor.h
@@ -8,7 +8,8 @@
 
 namespace sapphirewind::tier {
 
-/// A fixed number of threads. Tasks may block; work that computes belongs on oneTBB's own scheduler.
+/// A fixed number of threads. Tasks may block; work that computes belongs on oneTBB's own
+/// scheduler.
 class Executor
 {
 public:
--- a/libs/tier/include/tier/Freshness.h
+++ b/libs/tier/include/tier/Freshness.h
@@ -25,8 +25,8 @@
   /// Called when knowledge was brought up to date, by the platform or a peer, after a moment.
   void OnRefreshed(base::Instant aNow);
 
-  /// Returns false at once while fresh. After a freeze, waits for the refresh or the longest hold and
-  /// returns true: what was decided before must be decided again.
+  /// Returns false at once while fresh. After a freeze, waits for the refresh or the longest hold
+  /// and returns true: what was decided before must be decided again.
   bool Pass();
 
   /// Whether a refresh is wanted.
--- a/libs/tier/include/tier/Gossip.h
+++ b/libs/tier/include/tier/Gossip.h
@@ -5,9 +5,9 @@
 #include <base/Time.h>
 #include <functional>
 #include <membership/View.h>
+#include <model/Work.h>
 #include <mutex>
 #include <string>
-#include <model/Work.h>
 #include <tier/Freshness.h>
 #include <tier/ObjectCache.h>
 #include <tier/PeerClient.h>
@@ -35,7 +35,8 @@
 /// Rumours that one message carries at the most.
 constexpr size_t kRumoursPerMessage = 8;
 
-/// The time between probes: short in a small fleet, bounded below so that the cost a node is constant.
+/// The time between probes: short in a small fleet, bounded below so that the cost a node is
+/// constant.
 base::Duration
 ProbeInterval(size_t aFleet);
 
--- a/libs/tier/include/tier/ObjectCache.h
+++ b/libs/tier/include/tier/ObjectCache.h
@@ -1,8 +1,8 @@
 /// @file The followed platform objects as far as this instance has seen them.
 ///
 /// An object is replaced only by a higher version, whether it comes from a watch, a slow poll or a
-/// peer. So an accepted configuration spreads also while the platform is down, and an old read after a
-/// new one changes nothing.
+/// peer. So an accepted configuration spreads also while the platform is down, and an old read
+/// after a new one changes nothing.
 #pragma once
 
 #include <json/value.h>
--- a/libs/tier/include/tier/PeerClient.h
+++ b/libs/tier/include/tier/PeerClient.h
@@ -62,4 +62,5 @@
 
 template<>
 struct std::is_error_code_enum<sapphirewind::tier::PeerErrc> : std::true_type
-{};
+{
+};
--- a/libs/tier/include/tier/Scatter.h
+++ b/libs/tier/include/tier/Scatter.h
@@ -54,8 +54,9 @@
   std::vector<model::Hit> hits;
 };
 
-/// Sends a query's groups to their owners, at most one message an owner; asks the next in order when
-/// an owner cannot be reached or has fallen silent; returns by the deadline with what has come.
+/// Sends a query's groups to their owners, at most one message an owner; asks the next in order
+/// when an owner cannot be reached or has fallen silent; returns by the deadline with what has
+/// come.
 ScatterOutcome
 RunScatter(ScatterContext& aContext,
            AvoidedPeers& aAvoided,
--- a/libs/tier/include/tier/SearchService.h
+++ b/libs/tier/include/tier/SearchService.h
@@ -60,7 +60,9 @@
   model::SearchAnswer Admitted(Run& aRun);
   bool RunCanary(Run& aRun, const model::ScatterRequest& aRequest, ScatterOutcome& aOutcome);
   ScatterOutcome RunPinned(Run& aRun, const model::Snapshot& aSnapshot);
-  bool IsReadyEverywhere(const World& aWorld, const ServiceWorld& aService, const model::Snapshot& aSnapshot);
+  bool IsReadyEverywhere(const World& aWorld,
+                         const ServiceWorld& aService,
+                         const model::Snapshot& aSnapshot);
   void Record(const Run& aRun, const model::SearchAnswer& aAnswer);
 
   SearchContext context;
--- a/libs/tier/include/tier/WorldBuilder.h
+++ b/libs/tier/include/tier/WorldBuilder.h
@@ -1,4 +1,5 @@
-/// @file Puts the world together from the followed objects and the membership. Pure but for the log.
+/// @file Puts the world together from the followed objects and the membership. Pure but for the
+/// log.
 #pragma once
 
 #include <membership/View.h>
--- a/libs/tier/src/BookingService.cpp
+++ b/libs/tier/src/BookingService.cpp
@@ -48,10 +48,11 @@
 const model::Snapshot*
 NewestSnapshot(const model::ServiceIndex& aIndex)
 {
-  auto newest = std::max_element(
-    aIndex.snapshots.begin(),
-    aIndex.snapshots.end(),
-    [](const model::Snapshot& aLeft, const model::Snapshot& aRight) { return aLeft.serial < aRight.serial; });
+  auto newest = std::max_element(aIndex.snapshots.begin(),
+                                 aIndex.snapshots.end(),
+                                 [](const model::Snapshot& aLeft, const model::Snapshot& aRight) {
+                                   return aLeft.serial < aRight.serial;
+                                 });
   return newest == aIndex.snapshots.end() ? nullptr : &*newest;
 }
 
@@ -88,7 +89,8 @@
   if (!snapshot) {
     return Refuse(aRequest, model::Errc::NotReady, 1);
   }
-  base::Duration allowed = std::min(aTimeLeft.value_or(requestClass->answerWithin), requestClass->answerWithin);
+  base::Duration allowed =
+    std::min(aTimeLeft.value_or(requestClass->answerWithin), requestClass->answerWithin);
   base::Instant deadline = started + allowed;
   if (allowed.count() <= 0) {
     return Refuse(aRequest, model::Errc::DeadlinePassed);
@@ -173,9 +175,11 @@
 {
   auto promise = std::make_shared<std::promise<model::BookingResult>>();
   std::future<model::BookingResult> future = promise->get_future();
-  this->context.cells.Book(
-    aTask, aDeadline, [promise](model::BookingResult aResult) { promise->set_value(std::move(aResult)); });
-  // The cell always calls back: what waits is dropped at the deadline, what was sent times out by it.
+  this->context.cells.Book(aTask, aDeadline, [promise](model::BookingResult aResult) {
+    promise->set_value(std::move(aResult));
+  });
+  // The cell always calls back: what waits is dropped at the deadline, what was sent times out by
+  // it.
   return future.get();
 }
 
@@ -210,13 +214,15 @@
     if (address == aWorld.addresses.end()) {
       continue;
     }
-    base::Result<Json::Value> answer = this->context.peers.Call(
-      address->second, "book", model::ToJson(aTask), CallOptions{ .timeout = aTask.remaining, .fresh = true });
+    base::Result<Json::Value> answer =
+      this->context.peers.Call(address->second,
+                               "book",
+                               model::ToJson(aTask),
+                               CallOptions{ .timeout = aTask.remaining, .fresh = true });
     if (answer) {
       std::optional<model::BookingResult> result = model::BookingResultFromJson(*answer);
-      return result.value_or(model::BookingResult{ .outcome = model::Outcome::Unknown,
-                                                   .receipt = {},
-                                                   .error = model::Errc::UpstreamFailed });
+      return result.value_or(model::BookingResult{
+        .outcome = model::Outcome::Unknown, .receipt = {}, .error = model::Errc::UpstreamFailed });
     }
     bool nothingRan =
       answer.Error().code == PeerErrc::Unreachable || answer.Error().code == PeerErrc::Refused;
@@ -264,9 +270,8 @@
     return;
   }
   // Until it is recorded a resend is told `unknown`, which is true.
-  this->context.executor.Submit([this, aOperation] {
-    this->context.claims.Submit(aOperation, base::Now() + kLateRecordTime);
-  });
+  this->context.executor.Submit(
+    [this, aOperation] { this->context.claims.Submit(aOperation, base::Now() + kLateRecordTime); });
 }
 
 } // namespace sapphirewind::tier
--- a/libs/tier/src/CallerApi.cpp
+++ b/libs/tier/src/CallerApi.cpp
@@ -20,15 +20,20 @@
 {
   std::optional<Json::Value> body = document::ParseMessage(aRequest.body);
   if (!body || !body->isObject()) {
-    aBad = BadRequest{ .error = model::Errc::Malformed,
-                       .detail = "the body must be one JSON object in UTF-8, at most 64 levels deep" };
+    aBad =
+      BadRequest{ .error = model::Errc::Malformed,
+                  .detail = "the body must be one JSON object in UTF-8, at most 64 levels deep" };
     return std::nullopt;
   }
   return body;
 }
 
 bool
-ReadText(const Json::Value& aBody, const char* aName, size_t aMost, std::string& aOut, BadRequest& aBad)
+ReadText(const Json::Value& aBody,
+         const char* aName,
+         size_t aMost,
+         std::string& aOut,
+         BadRequest& aBad)
 {
   const Json::Value& member = aBody[aName];
   if (!member.isString() || member.asString().empty() || member.asString().size() > aMost) {
@@ -42,7 +47,12 @@
 }
 
 bool
-ReadCount(const Json::Value& aBody, const char* aName, size_t aLeast, size_t aMost, size_t& aOut, BadRequest& aBad)
+ReadCount(const Json::Value& aBody,
+          const char* aName,
+          size_t aLeast,
+          size_t aMost,
+          size_t& aOut,
+          BadRequest& aBad)
 {
   if (!aBody.isMember(aName)) {
     return true;
@@ -86,7 +96,8 @@
       known = known || name == entry;
     }
     if (!known) {
-      aBad = BadRequest{ .error = model::Errc::Malformed, .detail = "unknown field " + name.substr(0, 64) };
+      aBad = BadRequest{ .error = model::Errc::Malformed,
+                         .detail = "unknown field " + name.substr(0, 64) };
       return false;
     }
   }
--- a/libs/tier/src/Cell.cpp
+++ b/libs/tier/src/Cell.cpp
@@ -256,7 +256,8 @@
   bool hedging = this->context.experiment.hedging && delay.count() > 0;
   for (const TicketPointer& ticket : this->running) {
     if (hedging && !ticket->hedged && !ticket->live.empty()) {
-      wake = std::min(wake, std::max(aNow + base::Duration(200), ticket->live.front()->sentAt + delay));
+      wake =
+        std::min(wake, std::max(aNow + base::Duration(200), ticket->live.front()->sentAt + delay));
     }
   }
   return wake;
@@ -358,9 +359,9 @@
 void
 Cell::ReleaseReserved()
 {
-  bool inUse = std::any_of(this->running.begin(), this->running.end(), [](const TicketPointer& aTicket) {
-    return aTicket->alone;
-  });
+  bool inUse = std::any_of(this->running.begin(),
+                           this->running.end(),
+                           [](const TicketPointer& aTicket) { return aTicket->alone; });
   routing::Replica* reserved = inUse ? nullptr : this->FindReplica(this->aloneServer);
   if (reserved) {
     reserved->reserved = false;
--- a/libs/tier/src/CellConclude.cpp
+++ b/libs/tier/src/CellConclude.cpp
@@ -40,18 +40,19 @@
 routing::Replica*
 Cell::FindReplica(const std::string& aServer)
 {
-  auto found = std::find_if(this->replicas.begin(),
-                            this->replicas.end(),
-                            [&](const routing::Replica& aReplica) { return aReplica.name == aServer; });
+  auto found =
+    std::find_if(this->replicas.begin(),
+                 this->replicas.end(),
+                 [&](const routing::Replica& aReplica) { return aReplica.name == aServer; });
   return found == this->replicas.end() ? nullptr : &*found;
 }
 
 bool
 Cell::AnyServing() const
 {
-  return std::any_of(this->replicas.begin(), this->replicas.end(), [](const routing::Replica& aReplica) {
-    return !aReplica.leaving;
-  });
+  return std::any_of(this->replicas.begin(),
+                     this->replicas.end(),
+                     [](const routing::Replica& aReplica) { return !aReplica.leaving; });
 }
 
 void
@@ -142,7 +143,9 @@
 }
 
 void
-Cell::ConcludeSearch(const TicketPointer& aTicket, AttemptResult& aResult, const std::string& aServer)
+Cell::ConcludeSearch(const TicketPointer& aTicket,
+                     AttemptResult& aResult,
+                     const std::string& aServer)
 {
   Ticket& ticket = *aTicket;
   base::Instant now = base::Now();
@@ -299,7 +302,9 @@
 }
 
 void
-Cell::Finish(const TicketPointer& aTicket, model::GroupAnswer aAnswer, std::vector<model::Hit> aHits)
+Cell::Finish(const TicketPointer& aTicket,
+             model::GroupAnswer aAnswer,
+             std::vector<model::Hit> aHits)
 {
   assert(!aTicket->finished);
   aTicket->finished = true;
@@ -345,11 +350,12 @@
 Cell::HasSnapshot(const std::string& aSnapshot)
 {
   std::lock_guard<std::mutex> lock(this->mutex);
-  return std::any_of(this->replicas.begin(), this->replicas.end(), [&](const routing::Replica& aReplica) {
-    auto state = this->servers.find(aReplica.name);
-    bool has = state != this->servers.end() && state->second.snapshots.count(aSnapshot);
-    return has && !aReplica.leaving;
-  });
+  return std::any_of(
+    this->replicas.begin(), this->replicas.end(), [&](const routing::Replica& aReplica) {
+      auto state = this->servers.find(aReplica.name);
+      bool has = state != this->servers.end() && state->second.snapshots.count(aSnapshot);
+      return has && !aReplica.leaving;
+    });
 }
 
 void
@@ -369,7 +375,8 @@
       continue;
     }
     if (report->draining && this->context.leaving.Note(name, kLeavingTime, now)) {
-      telemetry::Log(telemetry::Event::ServerLeaving, { { "server", name }, { "heard", "health" } });
+      telemetry::Log(telemetry::Event::ServerLeaving,
+                     { { "server", name }, { "heard", "health" } });
     }
     std::lock_guard<std::mutex> lock(this->mutex);
     this->servers[name].snapshots.clear();
--- a/libs/tier/src/CellTable.cpp
+++ b/libs/tier/src/CellTable.cpp
@@ -138,7 +138,8 @@
                        .handling = aRequest.handling,
                        .deadline = aDeadline,
                        .canary = aRequest.canary,
-                       .done = [gathering](model::GroupAnswer aAnswer, std::vector<model::Hit> aHits) {
+                       .done = [gathering](model::GroupAnswer aAnswer,
+                                           std::vector<model::Hit> aHits) {
                          Gather(*gathering, std::move(aAnswer), std::move(aHits));
                        } };
     cell->Submit(std::move(search));
@@ -153,9 +154,8 @@
   std::shared_ptr<Cell> cell =
     this->Open(*this->world.Get(), Key{ .service = aTask.service, .group = aTask.group });
   if (!cell) {
-    aDone(model::BookingResult{ .outcome = model::Outcome::NotRun,
-                                .receipt = {},
-                                .error = model::Errc::NoReplica });
+    aDone(model::BookingResult{
+      .outcome = model::Outcome::NotRun, .receipt = {}, .error = model::Errc::NoReplica });
     return;
   }
   cell->Submit(BookingWork{ .task = aTask, .deadline = aDeadline, .done = std::move(aDone) });
--- a/libs/tier/src/ClaimWriter.cpp
+++ b/libs/tier/src/ClaimWriter.cpp
@@ -10,7 +10,8 @@
 
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(20);
 
-/// Verdicts that an out-of-date copy of the bucket can give wrongly; they are checked on a fresh one.
+/// Verdicts that an out-of-date copy of the bucket can give wrongly; they are checked on a fresh
+/// one.
 bool
 NeedsFreshCopy(claims::Verdict aVerdict)
 {
--- a/libs/tier/src/Gate.cpp
+++ b/libs/tier/src/Gate.cpp
@@ -38,8 +38,8 @@
   uint64_t id = this->nextId++;
   auto waiter = std::make_shared<Waiter>();
   this->waiters[id] = waiter;
-  this->queue.Push(admission::WorkItem{
-    .id = id, .handling = aHandling, .arrived = now, .deadline = aDeadline });
+  this->queue.Push(
+    admission::WorkItem{ .id = id, .handling = aHandling, .arrived = now, .deadline = aDeadline });
   this->AdmitWaiting(now);
   waiter->wake.wait_until(lock, aDeadline, [&] { return waiter->admitted || waiter->evicted; });
   this->waiters.erase(id);
--- a/libs/tier/src/Gossip.cpp
+++ b/libs/tier/src/Gossip.cpp
@@ -127,14 +127,18 @@
     std::lock_guard<std::mutex> lock(this->mutex);
     membership::OnSilent(this->view, aTarget.name, base::Now());
   }
-  telemetry::Log(telemetry::Event::MemberChanged, { { "member", aTarget.name }, { "state", "suspect" } });
+  telemetry::Log(telemetry::Event::MemberChanged,
+                 { { "member", aTarget.name }, { "state", "suspect" } });
 }
 
 void
 Gossip::ExchangeObjects(const std::string& aAddress)
 {
-  base::Result<Json::Value> list = this->context.peers.Call(
-    aAddress, "versions", Json::Value(Json::objectValue), CallOptions{ .timeout = kExchangeTimeout });
+  base::Result<Json::Value> list =
+    this->context.peers.Call(aAddress,
+                             "versions",
+                             Json::Value(Json::objectValue),
+                             CallOptions{ .timeout = kExchangeTimeout });
   if (!list || !(*list)["versions"].isObject()) {
     return;
   }
--- a/libs/tier/src/GossipMessage.cpp
+++ b/libs/tier/src/GossipMessage.cpp
@@ -18,8 +18,8 @@
 ProbeInterval(size_t aFleet)
 {
   double growth = std::sqrt(std::max(1.0, static_cast<double>(aFleet) / kSmallFleet));
-  auto interval = base::Duration(
-    static_cast<int64_t>(static_cast<double>(kShortestInterval.count()) * growth));
+  auto interval =
+    base::Duration(static_cast<int64_t>(static_cast<double>(kShortestInterval.count()) * growth));
   return std::min(interval, kLongestInterval);
 }
 
--- a/libs/tier/src/Instance.cpp
+++ b/libs/tier/src/Instance.cpp
@@ -190,9 +190,10 @@
                             .executor = this->executor,
                             .freshness = this->freshness,
                             .metrics = this->metrics })
-  , server(net::ServerOptions{ .listen = EndpointOf(this->settings.listen),
-                               .maxBodyBytes = std::max<size_t>(this->settings.maxBodyBytes, 4 << 20),
-                               .maxConnections = kMostConnections })
+  , server(
+      net::ServerOptions{ .listen = EndpointOf(this->settings.listen),
+                          .maxBodyBytes = std::max<size_t>(this->settings.maxBodyBytes, 4 << 20),
+                          .maxConnections = kMostConnections })
 {
 }
 
@@ -202,8 +203,8 @@
   std::lock_guard<std::mutex> lock(this->rebuildMutex);
   WorldPointer before = this->world.Get();
   this->gossip.ApplyPlatformList(ListedInstances(this->objects));
-  WorldPointer next = BuildWorld(
-    this->objects, this->gossip.View(), *before, this->settings.experiment.sharers);
+  WorldPointer next =
+    BuildWorld(this->objects, this->gossip.View(), *before, this->settings.experiment.sharers);
   if (next->generation != before->generation) {
     this->configurationAt = base::Now().time_since_epoch().count();
   }
@@ -305,7 +306,8 @@
   std::optional<base::Instant> lost = this->follower.UnreachableSince();
   input.storeUnreachable = lost ? now - *lost : base::Duration(0);
   int64_t since = this->configurationAt;
-  input.configurationAge = since == 0 ? base::Duration(0) : now.time_since_epoch() - base::Duration(since);
+  input.configurationAge =
+    since == 0 ? base::Duration(0) : now.time_since_epoch() - base::Duration(since);
   input.cells = this->cells.Status();
   input.classes = this->metrics.Collect(now);
   input.condemned = this->quarantine.ListCondemned(now);
@@ -324,9 +326,10 @@
   std::vector<config::AlertStatus> next =
     config::EvaluateAlerts(input.world->configuration.alerts, figures, this->alertMemory, aNow);
   for (const config::AlertStatus& alert : next) {
-    auto before = std::find_if(this->alerts.begin(), this->alerts.end(), [&](const config::AlertStatus& aEntry) {
-      return aEntry.name == alert.name;
-    });
+    auto before =
+      std::find_if(this->alerts.begin(),
+                   this->alerts.end(),
+                   [&](const config::AlertStatus& aEntry) { return aEntry.name == alert.name; });
     bool wasFiring = before != this->alerts.end() && before->firing;
     if (alert.firing != wasFiring) {
       telemetry::Log(alert.firing ? telemetry::Event::AlertFiring : telemetry::Event::AlertResolved,
@@ -343,19 +346,23 @@
     InFlightGuard guard(this->inFlight);
     BadRequest bad;
     if (aRequest.body.size() > this->settings.maxBodyBytes) {
-      return ToResponse(BadRequest{ .error = model::Errc::TooLarge, .detail = "the body is too large" });
+      return ToResponse(
+        BadRequest{ .error = model::Errc::TooLarge, .detail = "the body is too large" });
     }
     std::optional<ParsedSearch> parsed = ParseSearch(aRequest, bad);
-    return parsed ? ToResponse(this->search.Search(parsed->request, parsed->timeLeft)) : ToResponse(bad);
+    return parsed ? ToResponse(this->search.Search(parsed->request, parsed->timeLeft))
+                  : ToResponse(bad);
   });
   this->server.Route("POST", "/v1/book", [this](const net::Request& aRequest) {
     InFlightGuard guard(this->inFlight);
     BadRequest bad;
     if (aRequest.body.size() > this->settings.maxBodyBytes) {
-      return ToResponse(BadRequest{ .error = model::Errc::TooLarge, .detail = "the body is too large" });
+      return ToResponse(
+        BadRequest{ .error = model::Errc::TooLarge, .detail = "the body is too large" });
     }
     std::optional<ParsedBooking> parsed = ParseBooking(aRequest, bad);
-    return parsed ? ToResponse(this->booking.Book(parsed->request, parsed->timeLeft)) : ToResponse(bad);
+    return parsed ? ToResponse(this->booking.Book(parsed->request, parsed->timeLeft))
+                  : ToResponse(bad);
   });
 }
 
@@ -425,8 +432,8 @@
 Instance::Impl::RpcClaim(const Json::Value& aParameters)
 {
   std::optional<claims::Operation> operation = claims::OperationFromJson(aParameters);
-  bool sameVersion = aParameters["version"].isInt() &&
-                     aParameters["version"].asInt() == model::kPeerProtocolVersion;
+  bool sameVersion =
+    aParameters["version"].isInt() && aParameters["version"].asInt() == model::kPeerProtocolVersion;
   if (!operation || !sameVersion || !aParameters["remaining_us"].isInt64()) {
     telemetry::Log(telemetry::Event::PeerMessageRefused, { { "method", "claim" } });
     throw rpc::Refusal("malformed, or of another version");
--- a/libs/tier/src/Scatter.cpp
+++ b/libs/tier/src/Scatter.cpp
@@ -56,8 +56,7 @@
       entry->second = group;
     }
   }
-  aSession.outcome.hits =
-    model::MergeTop(std::move(aSession.outcome.hits), aAnswer.hits, aTop);
+  aSession.outcome.hits = model::MergeTop(std::move(aSession.outcome.hits), aAnswer.hits, aTop);
   aSession.changed.notify_all();
 }
 
@@ -166,10 +165,11 @@
     part.remaining = this->deadline - message->sentAt;
     auto self = this->shared_from_this();
     if (aOwner == this->context.self) {
-      this->context.cells.Scatter(part, this->deadline, [self, message](model::ScatterAnswer aAnswer) {
-        message->answered = true;
-        TakeIn(self->session, aAnswer, self->request.top);
-      });
+      this->context.cells.Scatter(
+        part, this->deadline, [self, message](model::ScatterAnswer aAnswer) {
+          message->answered = true;
+          TakeIn(self->session, aAnswer, self->request.top);
+        });
       return;
     }
     this->context.executor.Submit(
--- a/libs/tier/src/SearchService.cpp
+++ b/libs/tier/src/SearchService.cpp
@@ -107,14 +107,18 @@
 }
 
 void
-SnapshotBook::NoteReady(const std::string& aService, const std::string& aSnapshot, base::Instant aNow)
+SnapshotBook::NoteReady(const std::string& aService,
+                        const std::string& aSnapshot,
+                        base::Instant aNow)
 {
   std::lock_guard<std::mutex> lock(this->mutex);
   routing::NoteReady(this->knowledge[aService], aSnapshot, aNow);
 }
 
 void
-SnapshotBook::NoteMissing(const std::string& aService, const std::string& aSnapshot, base::Instant aNow)
+SnapshotBook::NoteMissing(const std::string& aService,
+                          const std::string& aSnapshot,
+                          base::Instant aNow)
 {
   std::lock_guard<std::mutex> lock(this->mutex);
   routing::NoteMissing(this->knowledge[aService], aSnapshot, aNow);
@@ -365,7 +369,8 @@
   }
   for (const auto& [owner, groups] : byOwner) {
     if (owner == this->context.scatter.self) {
-      if (!this->context.scatter.cells.LackingGroups(aService.index.service, aSnapshot.id, groups).empty()) {
+      if (!this->context.scatter.cells.LackingGroups(aService.index.service, aSnapshot.id, groups)
+             .empty()) {
         return false;
       }
       continue;
@@ -402,7 +407,8 @@
       if (snapshot != service.index.snapshots.end() &&
           this->IsReadyEverywhere(*world, service, *snapshot)) {
         this->context.snapshots.NoteReady(name, id, base::Now());
-        telemetry::Log(telemetry::Event::SnapshotProven, { { "service", name }, { "snapshot", id } });
+        telemetry::Log(telemetry::Event::SnapshotProven,
+                       { { "service", name }, { "snapshot", id } });
       }
     }
   }
--- a/libs/tier/src/Shared.cpp
+++ b/libs/tier/src/Shared.cpp
@@ -41,7 +41,8 @@
   std::lock_guard<std::mutex> lock(this->mutex);
   if (quarantine::StandingOf(this->reg, aFingerprint, aNow) == quarantine::Standing::Suspect) {
     quarantine::OnAnswered(this->reg, aFingerprint);
-    telemetry::Log(telemetry::Event::RequestCleared, { { "fingerprint", base::ToHex(aFingerprint) } });
+    telemetry::Log(telemetry::Event::RequestCleared,
+                   { { "fingerprint", base::ToHex(aFingerprint) } });
   }
   if (this->harmlessYoung.size() >= kHarmlessPerGeneration) {
     this->harmlessOld = std::move(this->harmlessYoung);
--- a/libs/tier/src/StatusPage.cpp
+++ b/libs/tier/src/StatusPage.cpp
@@ -195,8 +195,8 @@
   }
   Json::Value counters = WriteCounters(aCounters);
   for (const std::string& name : counters.getMemberNames()) {
-    samples.push_back(
-      telemetry::Sample{ .metric = name + "_total", .labels = {}, .value = counters[name].asDouble() });
+    samples.push_back(telemetry::Sample{
+      .metric = name + "_total", .labels = {}, .value = counters[name].asDouble() });
   }
   return samples;
 }
--- a/libs/tier/src/WorldBuilder.cpp
+++ b/libs/tier/src/WorldBuilder.cpp
@@ -35,8 +35,9 @@
   }
   aWorld.configuration = std::move(*parsed);
   aWorld.generation = object->version;
-  telemetry::Log(telemetry::Event::ConfigurationInForce,
-                 { { "generation", std::to_string(object->version) }, { "author", value->author } });
+  telemetry::Log(
+    telemetry::Event::ConfigurationInForce,
+    { { "generation", std::to_string(object->version) }, { "author", value->author } });
 }
 
 void
--- /dev/null
+++ b/programs/sapphirectl.cpp
@@ -0,0 +1,404 @@
+/// The operator's command.
+#include <base/Random.h>
+#include <config/Configuration.h>
+#include <cstdlib>
+#include <ctime>
+#include <document/Document.h>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iomanip>
+#include <iostream>
+#include <model/Catalog.h>
+#include <net/Connection.h>
+#include <operations/Apply.h>
+#include <platform/Store.h>
+#include <sstream>
+#include <thread>
+
+DEFINE_string(platform, "127.0.0.1:7000", "The address and port of the platform's object API.");
+DEFINE_string(instance,
+              "",
+              "Ask only this instance, IP:PORT, rather than all that the platform lists.");
+DEFINE_string(author, "", "Who makes the change; the login name by default.");
+DEFINE_uint64(expect, 0, "Apply only over this generation; 0 takes the one that stands.");
+DEFINE_bool(wait, false, "After apply, wait until the change is in force everywhere.");
+DEFINE_double(wait_seconds, 30.0, "How long --wait waits.");
+DEFINE_bool(json, false, "Print JSON for programs.");
+
+namespace {
+
+using namespace sapphirewind;
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitInvalid = 3;
+constexpr int kExitConflict = 4;
+constexpr base::Duration kCallTimeout = std::chrono::seconds(3);
+constexpr base::Duration kRetryPause = std::chrono::milliseconds(200);
+
+constexpr const char* kUsage =
+  "the operator's command of the query tier\n\n"
+  "  sapphirectl check FILE           check a configuration; nothing is changed\n"
+  "  sapphirectl apply FILE [--wait]  make it the current one\n"
+  "  sapphirectl show                 print the current configuration\n"
+  "  sapphirectl status               what the instances say of themselves\n"
+  "  sapphirectl audit                who changed what, when\n"
+  "  sapphirectl watch                print each new generation as it comes\n\n"
+  "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 invalid configuration, 4 another change won.";
+
+std::optional<std::string>
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    std::cerr << "sapphirectl: cannot read " << aPath << "\n";
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::unique_ptr<platform::HttpStore>
+OpenStore()
+{
+  net::Endpoint endpoint;
+  if (!net::ParseEndpoint(FLAGS_platform, endpoint)) {
+    std::cerr << "sapphirectl: --platform must be IP:PORT\n";
+    return nullptr;
+  }
+  return std::make_unique<platform::HttpStore>(endpoint, kCallTimeout);
+}
+
+int
+Fail(const base::Failure& aFailure)
+{
+  std::cerr << "sapphirectl: " << aFailure.code.message();
+  if (!aFailure.detail.empty()) {
+    std::cerr << " (" << aFailure.detail << ")";
+  }
+  std::cerr << "\n";
+  return aFailure.code == operations::Errc::Conflict ? kExitConflict : kExitFailed;
+}
+
+void
+PrintProblems(const std::string& aPath, const document::Problems& aProblems)
+{
+  for (const document::Problem& problem : aProblems) {
+    std::cerr << aPath << ": " << document::Describe(problem) << "\n";
+  }
+  std::cerr << aProblems.size() << " problem(s); nothing was applied\n";
+}
+
+int
+Check(const std::string& aPath)
+{
+  std::optional<std::string> text = ReadFile(aPath);
+  if (!text) {
+    return kExitFailed;
+  }
+  document::Problems problems;
+  std::optional<config::Configuration> parsed = config::ParseConfiguration(*text, problems);
+  if (!parsed) {
+    PrintProblems(aPath, problems);
+    return kExitInvalid;
+  }
+  std::cout << aPath << ": " << parsed->classes.size() << " classes, " << parsed->alerts.size()
+            << " alert rules, no problems\n";
+  return 0;
+}
+
+std::vector<std::string>
+InstanceAddresses(platform::Store& aStore)
+{
+  if (!FLAGS_instance.empty()) {
+    return { FLAGS_instance };
+  }
+  std::vector<std::string> addresses;
+  base::Result<platform::Versioned> list = aStore.Read(platform::kInstancesObject);
+  if (!list) {
+    return addresses;
+  }
+  for (const Json::Value& entry : list->value["instances"]) {
+    std::optional<model::InstanceRecord> record = model::InstanceFromJson(entry);
+    if (record && !record->leaving) {
+      addresses.push_back(record->address);
+    }
+  }
+  return addresses;
+}
+
+std::optional<Json::Value>
+AskStatus(const std::string& aAddress)
+{
+  net::Endpoint endpoint;
+  if (!net::ParseEndpoint(aAddress, endpoint)) {
+    return std::nullopt;
+  }
+  net::Connection connection(endpoint, net::ConnectionOptions{ .keepAlive = false });
+  base::Result<net::Response> answer =
+    connection.Send(net::Request{ .path = "/v1/status" }, kCallTimeout);
+  return answer && answer->status == 200 ? document::ParseMessage(answer->body) : std::nullopt;
+}
+
+/// Waits until every listed instance has a generation or a higher one.
+int
+WaitInForce(platform::Store& aStore, uint64_t aGeneration)
+{
+  base::Instant end = base::Now() + base::FromFractionalMillis(FLAGS_wait_seconds * 1000.0);
+  while (true) {
+    std::vector<std::string> addresses = InstanceAddresses(aStore);
+    size_t inForce = 0;
+    for (const std::string& address : addresses) {
+      std::optional<Json::Value> status = AskStatus(address);
+      inForce += status && (*status)["generation"].asUInt64() >= aGeneration ? 1 : 0;
+    }
+    bool all = !addresses.empty() && inForce == addresses.size();
+    bool late = base::Now() >= end;
+    if (all || late) {
+      std::cout << "generation " << aGeneration << " in force at " << inForce << " of "
+                << addresses.size() << " instances\n";
+      return all ? 0 : kExitFailed;
+    }
+    std::this_thread::sleep_for(kRetryPause);
+  }
+}
+
+int
+Apply(platform::Store& aStore, const std::string& aPath)
+{
+  std::optional<std::string> text = ReadFile(aPath);
+  if (!text) {
+    return kExitFailed;
+  }
+  const char* login = std::getenv("USER");
+  operations::ApplyOptions options;
+  options.author = !FLAGS_author.empty() ? FLAGS_author : login ? login : "unknown";
+  options.nonce = base::NewId(base::ThreadRandom());
+  options.nowMillis = base::WallClockMillis();
+  options.pause = [] { std::this_thread::sleep_for(kRetryPause); };
+  if (FLAGS_expect > 0) {
+    options.expected = FLAGS_expect;
+  }
+  document::Problems problems;
+  operations::AuditEntry winner;
+  base::Result<operations::Applied> applied =
+    operations::ApplyConfiguration(aStore, *text, options, problems, winner);
+  if (!applied && applied.Error().code == operations::Errc::Invalid) {
+    PrintProblems(aPath, problems);
+    return kExitInvalid;
+  }
+  if (!applied) {
+    return Fail(applied.Error());
+  }
+  std::cout << "accepted as generation " << applied->generation << "\n";
+  for (const std::string& change : applied->changes) {
+    std::cout << "  " << change << "\n";
+  }
+  return FLAGS_wait ? WaitInForce(aStore, applied->generation) : 0;
+}
+
+int
+Show(platform::Store& aStore)
+{
+  base::Result<operations::Current> current = operations::ReadCurrent(aStore);
+  if (!current) {
+    return Fail(current.Error());
+  }
+  if (FLAGS_json) {
+    Json::Value value;
+    value["generation"] = static_cast<Json::UInt64>(current->generation);
+    value["author"] = current->stored.author;
+    value["text"] = current->stored.text;
+    std::cout << document::WriteIndented(value) << "\n";
+    return 0;
+  }
+  std::cout << "// generation " << current->generation << ", by " << current->stored.author << "\n"
+            << current->stored.text;
+  return 0;
+}
+
+std::string
+FormatTime(int64_t aMillis)
+{
+  std::time_t seconds = aMillis / 1000;
+  std::tm utc{};
+  gmtime_r(&seconds, &utc);
+  std::ostringstream text;
+  text << std::put_time(&utc, "%Y-%m-%dT%H:%M:%SZ");
+  return text.str();
+}
+
+int
+Audit(platform::Store& aStore)
+{
+  base::Result<std::vector<operations::AuditEntry>> trail = operations::ReadAudit(aStore);
+  if (!trail) {
+    return Fail(trail.Error());
+  }
+  if (FLAGS_json) {
+    Json::Value list(Json::arrayValue);
+    for (const operations::AuditEntry& entry : *trail) {
+      list.append(operations::ToJson(entry));
+    }
+    std::cout << document::WriteIndented(list) << "\n";
+    return 0;
+  }
+  for (const operations::AuditEntry& entry : *trail) {
+    bool accepted = entry.outcome == operations::AuditOutcome::Accepted;
+    std::cout << FormatTime(entry.atMillis) << "  " << entry.author << "  from generation "
+              << entry.fromGeneration << "  " << (accepted ? "accepted as " : "lost to ")
+              << entry.generation << "\n";
+    for (const std::string& change : entry.changes) {
+      std::cout << "    " << change << "\n";
+    }
+  }
+  return 0;
+}
+
+void
+PrintClasses(const Json::Value& aStatus)
+{
+  for (const Json::Value& entry : aStatus["classes"]) {
+    std::cout << "    " << std::left << std::setw(16) << entry["class"].asString() << std::right
+              << std::fixed << std::setprecision(1) << std::setw(8) << entry["rate"].asDouble()
+              << "/s  p50 " << std::setw(7) << entry["p50_ms"].asDouble() << " ms  p99 "
+              << std::setw(7) << entry["p99_ms"].asDouble() << " ms  late " << std::setprecision(2)
+              << entry["late_share"].asDouble() * 100 << "%  refused "
+              << entry["refused_share"].asDouble() * 100 << "%  coverage "
+              << entry["coverage"].asDouble() * 100 << "%\n";
+  }
+}
+
+void
+PrintStatus(const std::string& aAddress, const Json::Value& aStatus)
+{
+  size_t owned = 0;
+  size_t ejected = 0;
+  for (const Json::Value& cell : aStatus["cells"]) {
+    owned += cell["owner"].asBool() ? 1 : 0;
+    for (const Json::Value& server : cell["servers"]) {
+      ejected += server["ejected"].asBool() ? 1 : 0;
+    }
+  }
+  std::cout << aStatus["name"].asString() << "  " << aAddress << "  "
+            << (aStatus["stopping"].asBool() ? "stopping"
+                : aStatus["ready"].asBool()  ? "ready"
+                                             : "not ready")
+            << "  generation " << aStatus["generation"].asUInt64() << "  members serving "
+            << aStatus["serving"].size() << "  groups owned " << owned << "  servers ejected "
+            << ejected;
+  if (aStatus["store_unreachable_s"].asDouble() > 0) {
+    std::cout << "  STORE UNREACHABLE for "
+              << static_cast<int>(aStatus["store_unreachable_s"].asDouble()) << " s";
+  }
+  std::cout << "\n";
+  PrintClasses(aStatus);
+  for (const Json::Value& alert : aStatus["alerts"]) {
+    if (alert["firing"].asBool()) {
+      std::cout << "    ALERT " << alert["name"].asString() << " (" << alert["value"].asDouble()
+                << ")\n";
+    }
+  }
+  for (const Json::Value& server : aStatus["leaving_servers"]) {
+    std::cout << "    leaving: " << server.asString() << "\n";
+  }
+  for (const Json::Value& fingerprint : aStatus["condemned"]) {
+    std::cout << "    quarantined request: " << fingerprint.asString() << "\n";
+  }
+}
+
+int
+Status(platform::Store& aStore)
+{
+  std::vector<std::string> addresses = InstanceAddresses(aStore);
+  if (addresses.empty()) {
+    std::cerr << "sapphirectl: the platform lists no instances; name one with --instance\n";
+    return kExitFailed;
+  }
+  Json::Value all(Json::objectValue);
+  size_t answered = 0;
+  for (const std::string& address : addresses) {
+    std::optional<Json::Value> status = AskStatus(address);
+    answered += status ? 1 : 0;
+    if (FLAGS_json) {
+      all[address] = status.value_or(Json::Value());
+    } else if (status) {
+      PrintStatus(address, *status);
+    } else {
+      std::cout << address << "  DOES NOT ANSWER\n";
+    }
+  }
+  if (FLAGS_json) {
+    std::cout << document::WriteIndented(all) << "\n";
+  }
+  return answered == addresses.size() ? 0 : kExitFailed;
+}
+
+int
+Watch(platform::Store& aStore)
+{
+  constexpr base::Duration kWait = std::chrono::seconds(10);
+  uint64_t revision = 0;
+  uint64_t generation = 0;
+  while (true) {
+    base::Result<platform::WatchAnswer> answer =
+      aStore.Watch(platform::kConfigurationObject, revision, kWait);
+    if (!answer) {
+      std::cerr << "sapphirectl: " << answer.Error().code.message() << "; trying on\n";
+      std::this_thread::sleep_for(std::chrono::seconds(1));
+      continue;
+    }
+    revision = answer->revision;
+    base::Result<operations::Current> current = operations::ReadCurrent(aStore);
+    if (current && current->generation > generation) {
+      generation = current->generation;
+      std::cout << "generation " << generation << " by " << current->stored.author << std::endl;
+    }
+  }
+}
+
+int
+Usage()
+{
+  std::cerr << "sapphirectl: " << kUsage << "\n";
+  return kExitUsage;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::SetUsageMessage(kUsage);
+  gflags::SetVersionString(SAPPHIREWIND_VERSION);
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  std::vector<std::string> words(aArguments + 1, aArguments + aCount);
+  if (words.empty()) {
+    return Usage();
+  }
+  bool takesFile = words[0] == "check" || words[0] == "apply";
+  if (words.size() != (takesFile ? 2U : 1U)) {
+    return Usage();
+  }
+  if (words[0] == "check") {
+    return Check(words[1]);
+  }
+  std::unique_ptr<platform::HttpStore> store = OpenStore();
+  if (!store) {
+    return kExitUsage;
+  }
+  if (words[0] == "apply") {
+    return Apply(*store, words[1]);
+  }
+  if (words[0] == "show") {
+    return Show(*store);
+  }
+  if (words[0] == "status") {
+    return Status(*store);
+  }
+  if (words[0] == "audit") {
+    return Audit(*store);
+  }
+  return words[0] == "watch" ? Watch(*store) : Usage();
+}
--- /dev/null
+++ b/programs/sapphireload.cpp
@@ -0,0 +1,398 @@
+/// Loads a tier and measures what its callers see.
+#include <algorithm>
+#include <config/Configuration.h>
+#include <document/Document.h>
+#include <fakes/Corpus.h>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iomanip>
+#include <iostream>
+#include <load/Load.h>
+#include <load/Plot.h>
+#include <map>
+#include <model/Catalog.h>
+#include <net/Connection.h>
+#include <platform/Store.h>
+#include <set>
+
+DEFINE_string(platform, "127.0.0.1:7000", "The platform, which lists the instances and classes.");
+DEFINE_string(work,
+              "",
+              "What to send: CLASS:RATE[..RATE][@FROM-TO], \"book/\" in front for bookings; "
+              "several separated by commas; times in seconds.");
+DEFINE_double(seconds, 10.0, "How long to send.");
+DEFINE_double(warm_seconds, 0.0, "Requests scheduled before this are left out of the figures.");
+DEFINE_string(window, "", "Figures only of requests scheduled in FROM-TO, in seconds.");
+DEFINE_uint64(seed, 1, "The seed of arrivals and queries.");
+DEFINE_int32(threads, 256, "Requests that may be on their way at a time.");
+DEFINE_uint64(distinct, 0, "Distinct queries; 0 makes each one new.");
+DEFINE_double(balancer_lag,
+              0.0,
+              "Seconds for which an instance that is not ready still gets requests.");
+DEFINE_string(upstreams, "", "The upstream stand-ins' control address, to count what they ran.");
+DEFINE_double(oracle_mean_ms,
+              0.0,
+              "The stand-ins' mean service time; above 0 compares with the oracle.");
+DEFINE_double(oracle_sigma, 0.6, "The stand-ins' sigma.");
+DEFINE_uint64(oracle_seed, 1, "The stand-ins' seed.");
+DEFINE_string(json, "", "Write the figures to this file.");
+DEFINE_string(svg, "", "Write a plot of latencies to this file.");
+DEFINE_string(prefix, "", "The prefix of request ids; by default made from the seed and the time.");
+DEFINE_bool(quiet, false, "No progress.");
+DEFINE_bool(print_first, false, "Print the first answer.");
+
+namespace {
+
+using namespace sapphirewind;
+
+constexpr base::Duration kCallTimeout = std::chrono::seconds(5);
+
+/// Counts that instances and stand-ins keep themselves.
+struct Counts
+{
+  double firstAttempts = 0;
+  double hedges = 0;
+  double retries = 0;
+  double droppedEarly = 0;
+  double started = 0;
+  double cancelled = 0;
+  double shed = 0;
+  double crashes = 0;
+  double refusedConnections = 0;
+  double busyMs = 0;
+};
+
+struct Scene
+{
+  std::vector<net::Endpoint> instances;
+  config::Configuration configuration;
+  std::vector<model::ServiceIndex> indexes;
+};
+
+std::optional<Json::Value>
+Get(const net::Endpoint& aEndpoint, const std::string& aPath)
+{
+  net::Connection connection(aEndpoint, net::ConnectionOptions{ .keepAlive = false });
+  base::Result<net::Response> answer = connection.Send(net::Request{ .path = aPath }, kCallTimeout);
+  return answer && answer->status == 200 ? document::ParseMessage(answer->body) : std::nullopt;
+}
+
+std::optional<Scene>
+ReadScene(platform::Store& aStore)
+{
+  Scene scene;
+  base::Result<platform::Versioned> instances = aStore.Read(platform::kInstancesObject);
+  base::Result<platform::Versioned> configuration = aStore.Read(platform::kConfigurationObject);
+  if (!instances || !configuration) {
+    std::cerr << "sapphireload: the platform has no instances or no configuration\n";
+    return std::nullopt;
+  }
+  for (const Json::Value& entry : instances->value["instances"]) {
+    std::optional<model::InstanceRecord> record = model::InstanceFromJson(entry);
+    net::Endpoint endpoint;
+    if (record && net::ParseEndpoint(record->address, endpoint)) {
+      scene.instances.push_back(endpoint);
+    }
+  }
+  document::Problems problems;
+  std::optional<config::Configuration> parsed =
+    config::ParseConfiguration(configuration->value["text"].asString(), problems);
+  if (!parsed) {
+    return std::nullopt;
+  }
+  scene.configuration = *parsed;
+  std::set<std::string> services;
+  for (const config::RequestClass& entry : parsed->classes) {
+    services.insert(entry.service);
+  }
+  for (const std::string& service : services) {
+    base::Result<platform::Versioned> index = aStore.Read(platform::kIndexPrefix + service);
+    std::optional<model::ServiceIndex> read =
+      index ? model::IndexFromJson(index->value) : std::nullopt;
+    if (read) {
+      scene.indexes.push_back(*read);
+    }
+  }
+  return scene;
+}
+
+Counts
+ReadCounts(const Scene& aScene)
+{
+  Counts counts;
+  for (const net::Endpoint& instance : aScene.instances) {
+    if (std::optional<Json::Value> status = Get(instance, "/v1/status")) {
+      const Json::Value& own = (*status)["counters"];
+      counts.firstAttempts += own["first_attempts"].asDouble();
+      counts.hedges += own["hedges"].asDouble();
+      counts.retries += own["retries"].asDouble();
+      counts.droppedEarly += own["dropped_early"].asDouble();
+    }
+  }
+  net::Endpoint control;
+  if (net::ParseEndpoint(FLAGS_upstreams, control)) {
+    if (std::optional<Json::Value> record = Get(control, "/control/record")) {
+      counts.started = (*record)["queries_started"].asDouble();
+      counts.cancelled = (*record)["cancelled"].asDouble();
+      counts.shed = (*record)["shed"].asDouble();
+      counts.crashes = (*record)["crashes"].asDouble();
+      counts.refusedConnections = (*record)["connections_refused"].asDouble();
+      counts.busyMs = (*record)["busy_ms"].asDouble();
+    }
+  }
+  return counts;
+}
+
+Json::Value
+Difference(const Counts& aBefore, const Counts& aAfter)
+{
+  Json::Value value;
+  double first = aAfter.firstAttempts - aBefore.firstAttempts;
+  double started = aAfter.started - aBefore.started;
+  value["first_attempts"] = first;
+  value["hedges"] = aAfter.hedges - aBefore.hedges;
+  value["retries"] = aAfter.retries - aBefore.retries;
+  value["dropped_early"] = aAfter.droppedEarly - aBefore.droppedEarly;
+  value["upstream_started"] = started;
+  value["upstream_cancelled"] = aAfter.cancelled - aBefore.cancelled;
+  value["upstream_shed"] = aAfter.shed - aBefore.shed;
+  value["upstream_crashes"] = aAfter.crashes - aBefore.crashes;
+  value["upstream_connections_refused"] = aAfter.refusedConnections - aBefore.refusedConnections;
+  value["upstream_busy_ms"] = aAfter.busyMs - aBefore.busyMs;
+  double extra = value["hedges"].asDouble() + value["retries"].asDouble();
+  value["extra_share"] = first > 0 ? extra / first : 0.0;
+  return value;
+}
+
+/// The time a query would take with no queue, no network and no second try: the longest of one
+/// drawn service time for each group.
+std::vector<double>
+OracleLatencies(const Scene& aScene,
+                const std::vector<load::Sample>& aSamples,
+                const std::string& aClass)
+{
+  const config::RequestClass* requestClass = aScene.configuration.FindClass(aClass);
+  fakes::ServiceTime time{ .meanMs = FLAGS_oracle_mean_ms,
+                           .sigma = FLAGS_oracle_sigma,
+                           .seed = FLAGS_oracle_seed };
+  std::set<std::string> groups;
+  for (const model::ServiceIndex& index : aScene.indexes) {
+    if (requestClass && index.service == requestClass->service && !index.snapshots.empty()) {
+      for (const model::ShardPlace& place : index.snapshots.front().shards) {
+        groups.insert(place.group);
+      }
+    }
+  }
+  std::vector<double> latencies;
+  for (const load::Sample& sample : aSamples) {
+    if (sample.className != aClass || sample.booking || sample.answered == 0) {
+      continue;
+    }
+    double longest = 0.0;
+    for (const std::string& group : groups) {
+      std::string server = requestClass->service + "-" + group + "-0";
+      base::Duration drawn = fakes::DrawServiceTime(time, sample.requestId, server);
+      longest = std::max(longest, base::ToFractionalMillis(drawn));
+    }
+    latencies.push_back(longest);
+  }
+  return latencies;
+}
+
+Json::Value
+ToJson(const load::Summary& aSummary, const config::RequestClass& aClass, double aSeconds)
+{
+  Json::Value value;
+  value["class"] = aSummary.className;
+  value["rank"] = model::ToText(aClass.rank);
+  value["target_ms"] = static_cast<Json::Int64>(base::ToMillis(aClass.answerWithin));
+  value["sent"] = static_cast<Json::UInt64>(aSummary.sent);
+  value["answered"] = static_cast<Json::UInt64>(aSummary.answered);
+  value["whole"] = static_cast<Json::UInt64>(aSummary.whole);
+  value["in_target"] = static_cast<Json::UInt64>(aSummary.inTarget);
+  value["refused"] = static_cast<Json::UInt64>(aSummary.refused);
+  value["refused_with_retry_after"] = static_cast<Json::UInt64>(aSummary.refusedWithRetryAfter);
+  value["unknown"] = static_cast<Json::UInt64>(aSummary.unknown);
+  value["lost"] = static_cast<Json::UInt64>(aSummary.lost);
+  value["p50_ms"] = aSummary.p50Ms;
+  value["p95_ms"] = aSummary.p95Ms;
+  value["p99_ms"] = aSummary.p99Ms;
+  value["p999_ms"] = aSummary.p999Ms;
+  value["refused_p99_ms"] = aSummary.refusedP99Ms;
+  value["coverage"] = aSummary.coverage;
+  value["goodput_per_s"] = static_cast<double>(aSummary.inTarget) / aSeconds;
+  return value;
+}
+
+void
+PrintTable(const Json::Value& aResult)
+{
+  std::cout << std::left << std::setw(14) << "class" << std::setw(11) << "rank" << std::right
+            << std::setw(8) << "sent" << std::setw(9) << "answered" << std::setw(8) << "refused"
+            << std::setw(6) << "lost" << std::setw(9) << "p50 ms" << std::setw(9) << "p95"
+            << std::setw(9) << "p99" << std::setw(9) << "p99.9" << std::setw(10) << "coverage"
+            << std::setw(11) << "goodput/s" << std::setw(10) << "in target"
+            << "\n";
+  for (const Json::Value& entry : aResult["classes"]) {
+    double answered = std::max(1.0, entry["answered"].asDouble());
+    std::cout << std::left << std::setw(14) << entry["class"].asString() << std::setw(11)
+              << entry["rank"].asString() << std::right << std::setw(8) << entry["sent"].asUInt64()
+              << std::setw(9) << entry["answered"].asUInt64() << std::setw(8)
+              << entry["refused"].asUInt64() << std::setw(6) << entry["lost"].asUInt64()
+              << std::fixed << std::setprecision(1) << std::setw(9) << entry["p50_ms"].asDouble()
+              << std::setw(9) << entry["p95_ms"].asDouble() << std::setw(9)
+              << entry["p99_ms"].asDouble() << std::setw(9) << entry["p999_ms"].asDouble()
+              << std::setprecision(4) << std::setw(10) << entry["coverage"].asDouble()
+              << std::setprecision(1) << std::setw(11) << entry["goodput_per_s"].asDouble()
+              << std::setw(9) << 100.0 * entry["in_target"].asDouble() / answered << "%";
+    if (entry.isMember("oracle_p99_ms")) {
+      std::cout << "  oracle p99 " << entry["oracle_p99_ms"].asDouble() << " (ratio "
+                << std::setprecision(3) << entry["p99_over_oracle"].asDouble() << ")";
+    }
+    std::cout << "\n";
+  }
+  const Json::Value& sent = aResult["upstream"];
+  std::cout << std::setprecision(2) << "extra load on upstreams "
+            << 100.0 * sent["extra_share"].asDouble() << "% (hedges " << std::setprecision(0)
+            << sent["hedges"].asDouble() << ", retries " << sent["retries"].asDouble() << " of "
+            << sent["first_attempts"].asDouble() << ")\n";
+}
+
+std::vector<std::string>
+ClassesOf(const std::vector<load::Stream>& aStreams)
+{
+  std::vector<std::string> names;
+  for (const load::Stream& stream : aStreams) {
+    if (std::find(names.begin(), names.end(), stream.className) == names.end()) {
+      names.push_back(stream.className);
+    }
+  }
+  return names;
+}
+
+bool
+ParseWindow(base::Duration& aFrom, base::Duration& aTo)
+{
+  if (FLAGS_window.empty()) {
+    return true;
+  }
+  std::string error;
+  std::vector<load::Stream> parsed = load::ParseStreams("x:1@" + FLAGS_window, aTo, error);
+  if (parsed.empty()) {
+    std::cerr << "sapphireload: --window must be FROM-TO in seconds\n";
+    return false;
+  }
+  aFrom = parsed.front().from;
+  aTo = parsed.front().to;
+  return true;
+}
+
+int
+Run()
+{
+  base::Duration length = base::FromFractionalMillis(FLAGS_seconds * 1000.0);
+  std::string error;
+  std::vector<load::Stream> streams = load::ParseStreams(FLAGS_work, length, error);
+  net::Endpoint platformEndpoint;
+  if (!error.empty() || !net::ParseEndpoint(FLAGS_platform, platformEndpoint)) {
+    std::cerr << "sapphireload: --work: " << error << "\n";
+    return 2;
+  }
+  platform::HttpStore store(platformEndpoint, kCallTimeout);
+  std::optional<Scene> scene = ReadScene(store);
+  if (!scene) {
+    return 1;
+  }
+  std::vector<std::string> classes = ClassesOf(streams);
+  for (const std::string& name : classes) {
+    if (!scene->configuration.FindClass(name)) {
+      std::cerr << "sapphireload: the configuration has no class " << name << "\n";
+      return 2;
+    }
+  }
+  base::Duration from = base::FromFractionalMillis(FLAGS_warm_seconds * 1000.0);
+  base::Duration to = length;
+  if (!ParseWindow(from, to)) {
+    return 2;
+  }
+  std::string prefix = FLAGS_prefix;
+  if (prefix.empty()) {
+    prefix = "q" + std::to_string(FLAGS_seed) + "-" + std::to_string(base::WallClockMillis());
+  }
+  load::LoadOptions options{ .targets = scene->instances,
+                             .streams = streams,
+                             .seed = FLAGS_seed,
+                             .threads = static_cast<size_t>(FLAGS_threads),
+                             .distinctQueries = FLAGS_distinct,
+                             .balancerLag = base::FromFractionalMillis(FLAGS_balancer_lag * 1000.0),
+                             .keepBodies = FLAGS_print_first,
+                             .idPrefix = prefix };
+  Counts before = ReadCounts(*scene);
+  std::vector<load::Sample> samples = load::RunLoad(options, [](size_t aSent, size_t aOf) {
+    if (!FLAGS_quiet) {
+      std::cerr << "\rsent " << aSent << " of " << aOf << "   " << std::flush;
+    }
+  });
+  if (!FLAGS_quiet) {
+    std::cerr << "\n";
+  }
+  Json::Value result;
+  result["seed"] = static_cast<Json::UInt64>(FLAGS_seed);
+  result["work"] = FLAGS_work;
+  result["upstream"] = Difference(before, ReadCounts(*scene));
+  std::vector<load::Sample> inWindow;
+  std::copy_if(samples.begin(),
+               samples.end(),
+               std::back_inserter(inWindow),
+               [&](const load::Sample& aSample) { return aSample.at >= from && aSample.at < to; });
+  double seconds = std::chrono::duration<double>(to - from).count();
+  for (const std::string& name : classes) {
+    const config::RequestClass& requestClass = *scene->configuration.FindClass(name);
+    load::Summary summary = load::Summarise(samples, name, requestClass.answerWithin, from, to);
+    Json::Value entry = ToJson(summary, requestClass, seconds);
+    if (FLAGS_oracle_mean_ms > 0.0) {
+      double oracle = load::Percentile(OracleLatencies(*scene, inWindow, name), 0.99);
+      entry["oracle_p99_ms"] = oracle;
+      entry["oracle_p50_ms"] = load::Percentile(OracleLatencies(*scene, inWindow, name), 0.5);
+      entry["p99_over_oracle"] = oracle > 0.0 ? summary.p99Ms / oracle : 0.0;
+    }
+    std::map<std::string, uint64_t> errors;
+    for (const load::Sample& sample : inWindow) {
+      if (sample.className == name && !sample.error.empty()) {
+        ++errors[sample.error];
+      }
+    }
+    for (const auto& [code, count] : errors) {
+      entry["errors"][code] = static_cast<Json::UInt64>(count);
+    }
+    result["classes"].append(entry);
+  }
+  if (FLAGS_print_first && !samples.empty()) {
+    std::optional<Json::Value> body = document::ParseMessage(samples.front().body);
+    std::cout << document::WriteIndented(body.value_or(Json::Value())) << "\n";
+  }
+  PrintTable(result);
+  if (!FLAGS_json.empty()) {
+    std::ofstream(FLAGS_json) << document::WriteIndented(result) << "\n";
+  }
+  if (!FLAGS_svg.empty()) {
+    std::ofstream(FLAGS_svg) << load::PlotLatencies(inWindow, classes);
+  }
+  return 0;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::SetUsageMessage("loads a tier and measures what its callers see\n\n"
+                          "  sapphireload --work dispatch:50,rota:400@5-15 --seconds 20");
+  gflags::SetVersionString(SAPPHIREWIND_VERSION);
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  if (FLAGS_work.empty()) {
+    std::cerr << "sapphireload: --work is needed; see --help\n";
+    return 2;
+  }
+  return Run();
+}
--- a/programs/sapphirewindd.cpp
+++ b/programs/sapphirewindd.cpp
@@ -39,7 +39,8 @@
   return settings;
 }
 
-/// Waits for a signal to stop. The signals are blocked in every thread, so that only this sees them.
+/// Waits for a signal to stop. The signals are blocked in every thread, so that only this sees
+/// them.
 void
 WaitForStopSignal(const sigset_t& aSignals)
 {
@@ -91,9 +92,9 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  telemetry::OpenLog(telemetry::LogOptions{
-    .instance = settings->name,
-    .file = settings->logFile,
-    .lowest = FLAGS_debug ? telemetry::Level::Debug : telemetry::Level::Info });
+  telemetry::OpenLog(telemetry::LogOptions{ .instance = settings->name,
+                                            .file = settings->logFile,
+                                            .lowest = FLAGS_debug ? telemetry::Level::Debug
+                                                                  : telemetry::Level::Info });
   return Run(*settings, signals);
 }
