--- a/libs/load/include/load/Load.h
+++ b/libs/load/include/load/Load.h
@@ -54,6 +54,9 @@
   /// How long the balancer goes on sending to an instance that is not ready.
   base::Duration balancerLag{ 0 };
   base::Duration timeout = std::chrono::seconds(40);
+  /// How often a booking that did not run for certain is sent again, with the same key.
+  size_t resends = 0;
+  base::Duration resendPause = std::chrono::milliseconds(150);
   /// Keeps bodies, for checks.
   bool keepBodies = false;
   /// A prefix of request ids and keys, so that runs do not meet.
--- a/libs/load/src/RunLoad.cpp
+++ b/libs/load/src/RunLoad.cpp
@@ -3,6 +3,7 @@
 #include <base/Random.h>
 #include <document/Document.h>
 #include <memory>
+#include <mutex>
 #include <net/Connection.h>
 #include <thread>
 
@@ -126,6 +127,33 @@
   return request;
 }
 
+Sample
+FirstSample(const LoadOptions& aOptions, const Stream& aStream, const Arrival& aArrival)
+{
+  std::string number = std::to_string(aArrival.number);
+  Sample sample;
+  sample.className = aStream.className;
+  sample.booking = aStream.booking;
+  sample.at = aArrival.at;
+  sample.requestId = aOptions.idPrefix + "-" + number;
+  sample.query = QueryText(aOptions, aArrival.number);
+  sample.key = aStream.booking ? aOptions.idPrefix + "-key-" + number : "";
+  return sample;
+}
+
+/// The same request sent again: another request id, the same key.
+Sample
+PrepareSample(const Sample& aFirst, size_t aAttempt)
+{
+  Sample sample;
+  sample.className = aFirst.className;
+  sample.booking = aFirst.booking;
+  sample.requestId = aFirst.requestId + "-again-" + std::to_string(aAttempt);
+  sample.query = aFirst.query;
+  sample.key = aFirst.key;
+  return sample;
+}
+
 void
 ReadAnswer(const base::Result<net::Response>& aAnswer, bool aKeepBody, Sample& aSample)
 {
@@ -166,22 +194,37 @@
   std::atomic<size_t> next{ 0 };
   Balancer balancer(aOptions);
   base::Instant start = base::Now();
+  std::mutex resentMutex;
+  std::vector<Sample> resent;
+  auto send = [&](const Stream& aStream, Sample& aSample, base::Instant aScheduled) {
+    base::Result<net::Response> answer = balancer.Send(MakeRequest(aOptions, aStream, aSample));
+    aSample.latency = base::Now() - aScheduled;
+    ReadAnswer(answer, aOptions.keepBodies, aSample);
+  };
+  auto resend = [&](const Stream& aStream, const Sample& aFirst) {
+    Sample last = aFirst;
+    for (size_t attempt = 1; attempt <= aOptions.resends && last.outcome != model::Outcome::Ran;
+         ++attempt) {
+      std::this_thread::sleep_for(aOptions.resendPause);
+      Sample next = PrepareSample(aFirst, attempt);
+      next.at = base::Now() - start;
+      send(aStream, next, base::Now());
+      last = next;
+      std::lock_guard<std::mutex> lock(resentMutex);
+      resent.push_back(std::move(next));
+    }
+  };
   auto work = [&] {
     for (size_t index = next.fetch_add(1); index < arrivals.size(); index = next.fetch_add(1)) {
       const Arrival& arrival = arrivals[index];
       const Stream& stream = aOptions.streams[arrival.stream];
       Sample& sample = samples[index];
-      sample.className = stream.className;
-      sample.booking = stream.booking;
-      sample.at = arrival.at;
-      sample.requestId = aOptions.idPrefix + "-" + std::to_string(arrival.number);
-      sample.query = QueryText(aOptions, arrival.number);
-      sample.key =
-        stream.booking ? aOptions.idPrefix + "-key-" + std::to_string(arrival.number) : "";
+      sample = FirstSample(aOptions, stream, arrival);
       std::this_thread::sleep_until(start + arrival.at);
-      base::Result<net::Response> answer = balancer.Send(MakeRequest(aOptions, stream, sample));
-      sample.latency = base::Now() - (start + arrival.at);
-      ReadAnswer(answer, aOptions.keepBodies, sample);
+      send(stream, sample, start + arrival.at);
+      if (stream.booking) {
+        resend(stream, sample);
+      }
     }
   };
   std::atomic<bool> done{ false };
@@ -204,6 +247,7 @@
   }
   done = true;
   reporter.join();
+  samples.insert(samples.end(), resent.begin(), resent.end());
   return samples;
 }
 
--- /dev/null
+++ b/test/scenario/Checks.cpp
@@ -0,0 +1,135 @@
+#include "Checks.h"
+
+#include <algorithm>
+#include <document/Document.h>
+#include <model/Peer.h>
+#include <set>
+
+namespace sapphirewind::test {
+
+namespace {
+
+std::string
+Name(const load::Sample& aSample)
+{
+  return aSample.requestId + " (status " + std::to_string(aSample.status) + ", outcome " +
+         model::ToText(aSample.outcome) + ", error " + aSample.error + ")";
+}
+
+/// The shards that an answer says it covers, or nothing when its coverage does not add up.
+std::optional<std::vector<std::string>>
+CoveredShards(const Json::Value& aBody, const model::Snapshot& aSnapshot)
+{
+  std::set<std::string> covered;
+  for (const model::ShardPlace& place : aSnapshot.shards) {
+    covered.insert(place.shard);
+  }
+  const Json::Value& coverage = aBody["coverage"];
+  if (coverage["total"].asUInt64() != covered.size()) {
+    return std::nullopt;
+  }
+  for (const Json::Value& missing : coverage["missing"]) {
+    if (covered.erase(missing.asString()) == 0) {
+      return std::nullopt;
+    }
+  }
+  if (coverage["answered"].asUInt64() != covered.size()) {
+    return std::nullopt;
+  }
+  return std::vector<std::string>(covered.begin(), covered.end());
+}
+
+std::string
+FindingFor(const load::Sample& aSample, const std::vector<model::Snapshot>& aSnapshots)
+{
+  std::optional<Json::Value> body = document::ParseMessage(aSample.body);
+  if (!body) {
+    return "the answer cannot be read";
+  }
+  if ((*body)["request_id"].asString() != aSample.requestId) {
+    return "the answer is to request " + (*body)["request_id"].asString();
+  }
+  auto snapshot =
+    std::find_if(aSnapshots.begin(), aSnapshots.end(), [&](const model::Snapshot& aEntry) {
+      return aEntry.id == aSample.snapshot;
+    });
+  if (snapshot == aSnapshots.end()) {
+    return "there is no snapshot " + aSample.snapshot;
+  }
+  std::optional<std::vector<std::string>> covered = CoveredShards(*body, *snapshot);
+  if (!covered) {
+    return "the coverage does not add up";
+  }
+  std::vector<model::Hit> expected =
+    fakes::ExpectedPage(aSample.query, aSample.snapshot, *covered, 0, 10);
+  std::vector<model::Hit> got;
+  for (const Json::Value& entry : (*body)["hits"]) {
+    got.push_back(model::HitFromJson(entry).value_or(model::Hit{}));
+  }
+  return got == expected ? "" : "the hits are not the ones of the shards it covers";
+}
+
+} // namespace
+
+Findings
+CheckAnswersExact(const std::vector<load::Sample>& aSamples,
+                  const std::vector<model::Snapshot>& aSnapshots)
+{
+  Findings findings;
+  for (const load::Sample& sample : aSamples) {
+    if (sample.booking || sample.snapshot.empty()) {
+      continue;
+    }
+    std::string finding = FindingFor(sample, aSnapshots);
+    if (!finding.empty()) {
+      findings.push_back(Name(sample) + ": " + finding);
+    }
+  }
+  return findings;
+}
+
+Findings
+CheckRefusalsTrue(const std::vector<load::Sample>& aSamples, const fakes::UpstreamRecord& aRecord)
+{
+  Findings findings;
+  for (const load::Sample& sample : aSamples) {
+    const std::set<std::string>& ran =
+      sample.booking ? aRecord.bookingRequests : aRecord.requestsStarted;
+    if (sample.outcome == model::Outcome::NotRun && ran.count(sample.requestId)) {
+      findings.push_back(Name(sample) + ": an upstream ran it");
+    }
+  }
+  return findings;
+}
+
+Findings
+CheckBookingsOnce(const std::vector<load::Sample>& aSamples, const fakes::UpstreamRecord& aRecord)
+{
+  Findings findings;
+  for (const auto& [key, count] : aRecord.bookingsByKey) {
+    if (count > 1) {
+      findings.push_back(key + " ran " + std::to_string(count) + " times");
+    }
+  }
+  for (const load::Sample& sample : aSamples) {
+    bool saidRan = sample.booking && sample.outcome == model::Outcome::Ran;
+    if (saidRan && !aRecord.bookingsByKey.count(sample.key)) {
+      findings.push_back(Name(sample) + ": it never ran");
+    }
+  }
+  return findings;
+}
+
+Findings
+CheckNoneLost(const std::vector<load::Sample>& aSamples)
+{
+  Findings findings;
+  for (const load::Sample& sample : aSamples) {
+    if (sample.status == 0) {
+      findings.push_back(Name(sample) + " got no answer");
+    }
+  }
+  return findings;
+}
+
+} // namespace sapphirewind::test
--- /dev/null
+++ b/test/scenario/Main.cpp
@@ -0,0 +1,69 @@
+/// Runs one scenario file over real processes.
+#include "Vocabulary.h"
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace sapphirewind;
+
+namespace {
+
+std::string
+Setting(const char* aName)
+{
+  const char* value = std::getenv(aName);
+  return value ? value : "";
+}
+
+std::string
+ReadAll(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(scenario)
+
+BOOST_AUTO_TEST_CASE(runs_as_written)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string path = Setting("SCENARIO_FILE");
+  std::string error;
+  std::optional<std::vector<test::Step>> steps = test::ReadScript(ReadAll(path), error);
+  BOOST_REQUIRE_MESSAGE(steps && !steps->empty(), path + ": " + error);
+  std::filesystem::path folder =
+    std::filesystem::temp_directory_path() / ("scenario-" + std::to_string(getpid()));
+  std::filesystem::create_directories(folder);
+  {
+    test::Stage stage(test::StageOptions{
+      .daemon = Setting("SCENARIO_DAEMON"),
+      .folder = folder.string(),
+      .configurations = std::filesystem::path(path).parent_path().string(),
+      .firstPort = static_cast<uint16_t>(std::stoul(Setting("SCENARIO_PORT"))) });
+    test::Vocabulary vocabulary;
+    test::AddActions(vocabulary, stage);
+    test::AddExpectations(vocabulary, stage);
+    try {
+      test::RunScript(*steps, vocabulary);
+    } catch (const test::StepFailed& failure) {
+      BOOST_ERROR(failure.what());
+      for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+        if (entry.path().extension() == ".log") {
+          std::cout << "---- " << entry.path().filename().string() << "\n"
+                    << ReadAll(entry.path().string());
+        }
+      }
+    }
+  }
+  std::filesystem::remove_all(folder);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/scenario/Stage.cpp
@@ -0,0 +1,363 @@
+#include "Stage.h"
+
+#include <base/Random.h>
+#include <csignal>
+#include <document/Document.h>
+#include <fstream>
+#include <iostream>
+#include <operations/Apply.h>
+#include <sstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace sapphirewind::test {
+
+namespace {
+
+constexpr const char* kLoopback = "127.0.0.1";
+constexpr base::Duration kReadyLimit = std::chrono::seconds(30);
+constexpr base::Duration kPoll = std::chrono::milliseconds(50);
+constexpr base::Duration kCallTimeout = std::chrono::milliseconds(800);
+constexpr size_t kLoadThreads = 96;
+
+fakes::ServicePlan
+ParsePlan(const std::string& aSpec)
+{
+  static const std::regex kPattern(R"(([a-z]+):(\d+)x(\d+):(\d+):(\d+))");
+  std::smatch match;
+  if (!std::regex_match(aSpec, match, kPattern)) {
+    throw StepFailed("upstreams are written NAME:GROUPSxREPLICAS:SLOTS:CONNECTIONS");
+  }
+  fakes::ServicePlan plan;
+  plan.name = match[1];
+  plan.groups = std::stoul(match[2]);
+  plan.replicas = std::stoul(match[3]);
+  plan.slots = std::stoul(match[4]);
+  plan.connectionLimit = std::stoul(match[5]);
+  return plan;
+}
+
+std::string
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    throw StepFailed("cannot read " + aPath);
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+} // namespace
+
+Stage::Stage(StageOptions aOptions)
+  : options(std::move(aOptions))
+  , platform(net::Endpoint{ .address = kLoopback, .port = this->options.firstPort })
+{
+  if (std::error_code error = this->platform.Start()) {
+    throw StepFailed("the platform stand-in cannot start: " + error.message());
+  }
+}
+
+Stage::~Stage()
+{
+  this->ending = true;
+  this->WaitForBackground();
+  for (std::thread& thread : this->loads) {
+    thread.join();
+  }
+  if (this->generationWatcher.joinable()) {
+    this->generationWatcher.join();
+  }
+  for (InstanceProcess& instance : this->instances) {
+    if (!instance.ended) {
+      kill(instance.pid, SIGKILL);
+      waitpid(instance.pid, nullptr, 0);
+    }
+  }
+}
+
+void
+Stage::StartUpstreams(const std::string& aSpec, double aMeanMs)
+{
+  fakes::FleetOptions fleetOptions{ .services = { ParsePlan(aSpec) },
+                                    .time = { .meanMs = aMeanMs, .sigma = 0.6, .seed = this->seed },
+                                    .connectionCost = std::chrono::milliseconds(2),
+                                    .firstPort =
+                                      static_cast<uint16_t>(this->options.firstPort + 20),
+                                    .serial = 1 };
+  this->fleet = std::make_unique<fakes::Fleet>(fleetOptions);
+  if (std::error_code error = this->fleet->Start()) {
+    throw StepFailed("the upstream stand-ins cannot start: " + error.message());
+  }
+  this->Publish({ 1 });
+}
+
+void
+Stage::Publish(const std::vector<int64_t>& aSerials)
+{
+  for (const fakes::ServicePlan& plan : this->fleet->Options().services) {
+    Json::Value servers;
+    servers["servers"] = Json::Value(Json::arrayValue);
+    for (const model::ServerRecord& record : this->fleet->Records(plan.name)) {
+      servers["servers"].append(model::ToJson(record));
+    }
+    this->Platform().Force(platform::kServersPrefix + plan.name, servers);
+    this->Platform().Force(platform::kIndexPrefix + plan.name,
+                           model::ToJson(this->fleet->Index(plan.name, aSerials)));
+  }
+}
+
+void
+Stage::ListInstances()
+{
+  Json::Value list;
+  list["instances"] = Json::Value(Json::arrayValue);
+  for (size_t number = 1; number <= this->instances.size(); ++number) {
+    model::InstanceRecord record{ .name = "i" + std::to_string(number),
+                                  .address = std::string(kLoopback) + ":" +
+                                             std::to_string(this->instances[number - 1].port),
+                                  .region = "r1",
+                                  .zone = "r1a",
+                                  .leaving = false };
+    list["instances"].append(model::ToJson(record));
+  }
+  this->Platform().Force(platform::kInstancesObject, list);
+}
+
+void
+Stage::StartInstances(size_t aCount)
+{
+  for (size_t number = 1; number <= aCount; ++number) {
+    InstanceProcess instance;
+    instance.port = static_cast<uint16_t>(this->options.firstPort + number);
+    instance.settingsFile = this->options.folder + "/i" + std::to_string(number) + ".json";
+    this->instances.push_back(instance);
+  }
+  for (size_t number = 1; number <= aCount; ++number) {
+    Json::Value settings;
+    settings["name"] = "i" + std::to_string(number);
+    settings["region"] = "r1";
+    settings["availability_zone"] = "r1a";
+    settings["listen"] =
+      std::string(kLoopback) + ":" + std::to_string(this->instances[number - 1].port);
+    settings["platform"] = std::string(kLoopback) + ":" + std::to_string(this->options.firstPort);
+    settings["balancer_lag"] = "1s";
+    settings["stop_within"] = "30s";
+    settings["log_file"] = this->options.folder + "/i" + std::to_string(number) + ".log";
+    for (const InstanceProcess& other : this->instances) {
+      settings["seeds"].append(std::string(kLoopback) + ":" + std::to_string(other.port));
+    }
+    std::ofstream(this->instances[number - 1].settingsFile) << document::WriteIndented(settings);
+  }
+  this->ListInstances();
+  for (size_t number = 1; number <= aCount; ++number) {
+    this->StartInstance(number);
+  }
+  this->generationWatcher = std::thread([this] { this->WatchGenerations(); });
+}
+
+void
+Stage::StartInstance(size_t aNumber)
+{
+  InstanceProcess& instance = this->instances.at(aNumber - 1);
+  base::Instant end = base::Now() + kReadyLimit;
+  while (instance.pid != 0 && !instance.ended && base::Now() < end) {
+    std::this_thread::sleep_for(kPoll);
+  }
+  std::string flag = "--settings=" + instance.settingsFile;
+  pid_t pid = fork();
+  if (pid == 0) {
+    // An instance never outlives the test that started it.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    execl(this->options.daemon.c_str(), this->options.daemon.c_str(), flag.c_str(), nullptr);
+    _exit(127);
+  }
+  instance.pid = pid;
+  instance.ended = false;
+  instance.asked = false;
+}
+
+std::optional<Json::Value>
+Stage::Status(size_t aNumber)
+{
+  net::Endpoint endpoint{ .address = kLoopback, .port = this->instances.at(aNumber - 1).port };
+  net::Connection connection(endpoint, net::ConnectionOptions{ .keepAlive = false });
+  base::Result<net::Response> answer =
+    connection.Send(net::Request{ .path = "/v1/status" }, kCallTimeout);
+  return answer && answer->status == 200 ? document::ParseMessage(answer->body) : std::nullopt;
+}
+
+void
+Stage::WaitReady()
+{
+  base::Instant end = base::Now() + kReadyLimit;
+  for (size_t number = 1; number <= this->instances.size(); ++number) {
+    while (this->instances[number - 1].ended == false) {
+      std::optional<Json::Value> status = this->Status(number);
+      bool ready = status && (*status)["ready"].asBool() &&
+                   (*status)["serving"].size() == this->instances.size();
+      if (ready) {
+        break;
+      }
+      if (base::Now() >= end) {
+        throw StepFailed("instance " + std::to_string(number) + " does not become ready");
+      }
+      std::this_thread::sleep_for(kPoll);
+    }
+  }
+}
+
+uint64_t
+Stage::GenerationOf(size_t aNumber)
+{
+  std::optional<Json::Value> status = this->Status(aNumber);
+  return status ? (*status)["generation"].asUInt64() : 0;
+}
+
+void
+Stage::WatchGenerations()
+{
+  std::vector<uint64_t> highest(this->instances.size(), 0);
+  std::vector<pid_t> pids(this->instances.size(), 0);
+  while (!this->ending) {
+    for (size_t index = 0; index < this->instances.size(); ++index) {
+      pid_t pid = this->instances[index].pid;
+      if (pid != pids[index]) {
+        pids[index] = pid;
+        highest[index] = 0;
+      }
+      if (std::optional<Json::Value> status = this->Status(index + 1)) {
+        uint64_t generation = (*status)["generation"].asUInt64();
+        this->generationsFallen += generation < highest[index] ? 1 : 0;
+        highest[index] = std::max(highest[index], generation);
+      }
+    }
+    std::this_thread::sleep_for(2 * kPoll);
+  }
+}
+
+void
+Stage::Signal(size_t aNumber, int aSignal)
+{
+  kill(this->instances.at(aNumber - 1).pid, aSignal);
+}
+
+void
+Stage::Kill(size_t aNumber)
+{
+  InstanceProcess& instance = this->instances.at(aNumber - 1);
+  kill(instance.pid, SIGKILL);
+  waitpid(instance.pid, nullptr, 0);
+  instance.ended = true;
+}
+
+void
+Stage::Freeze(size_t aNumber, base::Duration aFor)
+{
+  this->Signal(aNumber, SIGSTOP);
+  this->After(aFor, [this, aNumber] { this->Signal(aNumber, SIGCONT); });
+}
+
+void
+Stage::StopGracefully(size_t aNumber)
+{
+  InstanceProcess& instance = this->instances.at(aNumber - 1);
+  instance.asked = true;
+  kill(instance.pid, SIGTERM);
+  this->background.emplace_back([&instance, pid = instance.pid] {
+    int status = 0;
+    waitpid(pid, &status, 0);
+    instance.exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    instance.ended = true;
+  });
+}
+
+void
+Stage::ChangePlatform(const std::function<void(fakes::PlatformFaults&)>& aChange)
+{
+  fakes::PlatformFaults faults = this->Platform().Faults();
+  aChange(faults);
+  this->Platform().SetFaults(faults);
+}
+
+void
+Stage::After(base::Duration aDelay, std::function<void()> aAction)
+{
+  this->background.emplace_back([aDelay, action = std::move(aAction)] {
+    std::this_thread::sleep_for(aDelay);
+    action();
+  });
+}
+
+void
+Stage::WaitForBackground()
+{
+  for (std::thread& thread : this->background) {
+    thread.join();
+  }
+  this->background.clear();
+}
+
+void
+Stage::Apply(const std::string& aFile, const std::string& aAuthor)
+{
+  operations::ApplyOptions apply;
+  apply.author = aAuthor;
+  apply.nonce = base::NewId(base::ThreadRandom());
+  apply.nowMillis = base::WallClockMillis();
+  apply.pause = [] { std::this_thread::sleep_for(kPoll); };
+  document::Problems problems;
+  operations::AuditEntry winner;
+  base::Result<operations::Applied> applied =
+    operations::ApplyConfiguration(this->Platform(),
+                                   ReadFile(this->options.configurations + "/" + aFile),
+                                   apply,
+                                   problems,
+                                   winner);
+  bool lost = !applied && applied.Error().code == operations::Errc::Conflict;
+  if (!applied && !lost) {
+    throw StepFailed("apply: " + applied.Error().code.message() + " " +
+                     (problems.empty() ? "" : document::Describe(problems.front())));
+  }
+}
+
+void
+Stage::StartLoad(const std::string& aStreams, base::Duration aFor, size_t aResends)
+{
+  std::string error;
+  load::LoadOptions loadOptions;
+  loadOptions.streams = load::ParseStreams(aStreams, aFor, error);
+  if (!error.empty()) {
+    throw StepFailed(error);
+  }
+  for (const InstanceProcess& instance : this->instances) {
+    loadOptions.targets.push_back(net::Endpoint{ .address = kLoopback, .port = instance.port });
+  }
+  loadOptions.seed = this->seed + this->loadCount;
+  loadOptions.threads = kLoadThreads;
+  loadOptions.keepBodies = true;
+  loadOptions.resends = aResends;
+  loadOptions.balancerLag = std::chrono::milliseconds(300);
+  loadOptions.timeout = std::chrono::seconds(15);
+  loadOptions.idPrefix = "load" + std::to_string(this->loadCount++);
+  this->loads.emplace_back([this, loadOptions] {
+    std::vector<load::Sample> got = load::RunLoad(loadOptions, [](size_t, size_t) {});
+    std::lock_guard<std::mutex> lock(this->samplesMutex);
+    this->samples.insert(this->samples.end(), got.begin(), got.end());
+  });
+}
+
+const std::vector<load::Sample>&
+Stage::Samples()
+{
+  for (std::thread& thread : this->loads) {
+    thread.join();
+  }
+  this->loads.clear();
+  return this->samples;
+}
+
+} // namespace sapphirewind::test
--- /dev/null
+++ b/test/scenario/Vocabulary.cpp
@@ -0,0 +1,361 @@
+#include "Vocabulary.h"
+
+#include "Checks.h"
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <operations/Apply.h>
+#include <set>
+
+namespace sapphirewind::test {
+
+namespace {
+
+size_t
+Number(const std::string& aText)
+{
+  return std::stoul(aText);
+}
+
+void
+AddScene(Vocabulary& aVocabulary, Stage& aStage)
+{
+  aVocabulary.On("seed (\\d+)", [&](const Words& aWords) { aStage.seed = Number(aWords[0]); });
+  aVocabulary.On("upstreams (\\S+) taking (\\S+)", [&](const Words& aWords) {
+    aStage.StartUpstreams(aWords[0], base::ToFractionalMillis(Span(aWords[1])));
+  });
+  aVocabulary.On("configuration (\\S+)",
+                 [&](const Words& aWords) { aStage.Apply(aWords[0], "setup"); });
+  aVocabulary.On("instances (\\d+)", [&](const Words& aWords) {
+    aStage.StartInstances(Number(aWords[0]));
+    aStage.WaitReady();
+  });
+  aVocabulary.On("wait (\\S+)",
+                 [](const Words& aWords) { std::this_thread::sleep_for(Span(aWords[0])); });
+}
+
+void
+AddLoads(Vocabulary& aVocabulary, Stage& aStage)
+{
+  aVocabulary.On("search (\\S+) at (\\d+)/s for (\\S+)", [&](const Words& aWords) {
+    aStage.StartLoad(aWords[0] + ":" + aWords[1], Span(aWords[2]), 0);
+  });
+  aVocabulary.On(
+    "book (\\S+) at (\\d+)/s for (\\S+), resending (\\d+) times", [&](const Words& aWords) {
+      aStage.StartLoad("book/" + aWords[0] + ":" + aWords[1], Span(aWords[2]), Number(aWords[3]));
+    });
+}
+
+void
+AddInstanceFaults(Vocabulary& aVocabulary, Stage& aStage)
+{
+  aVocabulary.On("kill instance (\\d+)",
+                 [&](const Words& aWords) { aStage.Kill(Number(aWords[0])); });
+  aVocabulary.On("start instance (\\d+)",
+                 [&](const Words& aWords) { aStage.StartInstance(Number(aWords[0])); });
+  aVocabulary.On("stop instance (\\d+)",
+                 [&](const Words& aWords) { aStage.StopGracefully(Number(aWords[0])); });
+  aVocabulary.On("freeze instance (\\d+) for (\\S+)",
+                 [&](const Words& aWords) { aStage.Freeze(Number(aWords[0]), Span(aWords[1])); });
+}
+
+void
+AddPlatformFaults(Vocabulary& aVocabulary, Stage& aStage)
+{
+  // Each fault ends by itself after its time.
+  auto timed = [&](base::Duration aFor,
+                   const std::function<void(fakes::PlatformFaults&)>& aBegin,
+                   const std::function<void(fakes::PlatformFaults&)>& aEnd) {
+    aStage.ChangePlatform(aBegin);
+    aStage.After(aFor, [&aStage, aEnd] { aStage.ChangePlatform(aEnd); });
+  };
+  aVocabulary.On("platform down for (\\S+)", [timed](const Words& aWords) {
+    timed(
+      Span(aWords[0]),
+      [](fakes::PlatformFaults& aFaults) { aFaults.down = true; },
+      [](fakes::PlatformFaults& aFaults) { aFaults.down = false; });
+  });
+  aVocabulary.On("platform slow by (\\S+) for (\\S+)", [timed](const Words& aWords) {
+    base::Duration delay = Span(aWords[0]);
+    timed(
+      Span(aWords[1]),
+      [delay](fakes::PlatformFaults& aFaults) { aFaults.delay = delay; },
+      [](fakes::PlatformFaults& aFaults) { aFaults.delay = base::Duration(0); });
+  });
+  aVocabulary.On("platform stale by (\\S+) for (\\S+)", [timed](const Words& aWords) {
+    base::Duration stale = Span(aWords[0]);
+    timed(
+      Span(aWords[1]),
+      [stale](fakes::PlatformFaults& aFaults) { aFaults.staleBy = stale; },
+      [](fakes::PlatformFaults& aFaults) { aFaults.staleBy = base::Duration(0); });
+  });
+  aVocabulary.On("platform loses the next (\\d+) answers", [&](const Words& aWords) {
+    size_t count = Number(aWords[0]);
+    aStage.ChangePlatform([count](fakes::PlatformFaults& aFaults) { aFaults.loseAnswers = count; });
+  });
+  aVocabulary.On("platform lists lag by (\\S+)", [&](const Words& aWords) {
+    base::Duration lag = Span(aWords[0]);
+    aStage.ChangePlatform([lag](fakes::PlatformFaults& aFaults) { aFaults.listLag = lag; });
+  });
+}
+
+void
+AddUpstreamFaults(Vocabulary& aVocabulary, Stage& aStage)
+{
+  aVocabulary.On("servers (\\S+) set (.+)", [&](const Words& aWords) {
+    std::optional<Json::Value> change = document::ParseMessage(aWords[1]);
+    if (!change) {
+      throw StepFailed("a behaviour is written as JSON");
+    }
+    std::vector<fakes::Upstream*> servers = aStage.Fleet().Matching(aWords[0]);
+    if (servers.empty()) {
+      throw StepFailed("no server matches " + aWords[0]);
+    }
+    for (fakes::Upstream* server : servers) {
+      server->Set(fakes::BehaviourFromJson(*change, server->Behaviour()));
+    }
+  });
+  aVocabulary.On("crash servers (\\S+) for (\\S+)", [&](const Words& aWords) {
+    for (fakes::Upstream* server : aStage.Fleet().Matching(aWords[0])) {
+      server->Crash(Span(aWords[1]));
+    }
+  });
+  aVocabulary.On("publish snapshots? (.+)", [&](const Words& aWords) {
+    std::vector<int64_t> serials;
+    std::istringstream words(aWords[0]);
+    for (int64_t serial = 0; words >> serial;) {
+      serials.push_back(serial);
+    }
+    aStage.Publish(serials);
+  });
+}
+
+void
+AddConfigurationSteps(Vocabulary& aVocabulary, Stage& aStage)
+{
+  aVocabulary.On("apply (\\S+) as (\\S+)",
+                 [&](const Words& aWords) { aStage.Apply(aWords[0], aWords[1]); });
+  aVocabulary.On("apply (\\S+) as (\\S+) and (\\S+) as (\\S+) together", [&](const Words& aWords) {
+    std::thread other([&] { aStage.Apply(aWords[0], aWords[1]); });
+    aStage.Apply(aWords[2], aWords[3]);
+    other.join();
+  });
+}
+
+/// Throws with the first few findings when there are any.
+void
+Require(const Findings& aFindings)
+{
+  constexpr size_t kShown = 5;
+  if (aFindings.empty()) {
+    return;
+  }
+  std::string text = std::to_string(aFindings.size()) + " finding(s)";
+  for (size_t index = 0; index < std::min(kShown, aFindings.size()); ++index) {
+    text += "\n    " + aFindings[index];
+  }
+  throw StepFailed(text);
+}
+
+std::vector<model::Snapshot>
+AllSnapshots(Stage& aStage)
+{
+  std::vector<model::Snapshot> snapshots;
+  for (const fakes::ServicePlan& plan : aStage.Fleet().Options().services) {
+    for (int64_t serial = 1; serial <= 9; ++serial) {
+      snapshots.push_back(fakes::MakeSnapshot(plan, serial));
+    }
+  }
+  return snapshots;
+}
+
+void
+AddRequestExpectations(Vocabulary& aVocabulary, Stage& aStage)
+{
+  aVocabulary.On(
+    "expect every answer is exact, from one snapshot, with true coverage",
+    [&](const Words&) { Require(CheckAnswersExact(aStage.Samples(), AllSnapshots(aStage))); });
+  aVocabulary.On("expect refused requests never ran", [&](const Words&) {
+    Require(CheckRefusalsTrue(aStage.Samples(), aStage.Fleet().Total()));
+  });
+  aVocabulary.On("expect no booking ran twice", [&](const Words&) {
+    Require(CheckBookingsOnce(aStage.Samples(), aStage.Fleet().Total()));
+  });
+  aVocabulary.On("expect no request is lost",
+                 [&](const Words&) { Require(CheckNoneLost(aStage.Samples())); });
+  aVocabulary.On("expect at least (\\d+) (searches|bookings) (whole|ran|partial|refused|unknown)",
+                 [&](const Words& aWords) {
+                   size_t count = 0;
+                   for (const load::Sample& sample : aStage.Samples()) {
+                     bool whole = sample.total > 0 && sample.answered == sample.total;
+                     bool partial = sample.answered > 0 && sample.answered < sample.total;
+                     bool counts =
+                       (aWords[2] == "whole" && whole) || (aWords[2] == "partial" && partial) ||
+                       (aWords[2] == "ran" && sample.outcome == model::Outcome::Ran) ||
+                       (aWords[2] == "refused" && sample.outcome == model::Outcome::NotRun) ||
+                       (aWords[2] == "unknown" && sample.outcome == model::Outcome::Unknown);
+                     count += counts && sample.booking == (aWords[1] == "bookings") ? 1 : 0;
+                   }
+                   if (count < Number(aWords[0])) {
+                     throw StepFailed("only " + std::to_string(count));
+                   }
+                 });
+  aVocabulary.On("expect snapshot (\\d+) is answered from", [&](const Words& aWords) {
+    for (const load::Sample& sample : aStage.Samples()) {
+      if (sample.snapshot == "s" + aWords[0] && sample.answered > 0) {
+        return;
+      }
+    }
+    throw StepFailed("no answer is from it");
+  });
+}
+
+void
+AddUpstreamExpectations(Vocabulary& aVocabulary, Stage& aStage)
+{
+  aVocabulary.On("expect no new work at leaving servers after 3s", [&](const Words&) {
+    uint64_t late = aStage.Fleet().Total().startedWhileLeaving;
+    if (late > 0) {
+      throw StepFailed(std::to_string(late) + " requests started there");
+    }
+  });
+  aVocabulary.On("expect connection limits are kept", [&](const Words&) {
+    uint64_t refused = aStage.Fleet().Total().connectionsRefused;
+    if (refused > 0) {
+      throw StepFailed(std::to_string(refused) + " connections were above the limit");
+    }
+  });
+  aVocabulary.On("expect at most (\\d+) servers lost", [&](const Words& aWords) {
+    uint64_t crashes = aStage.Fleet().Total().crashes;
+    if (crashes > Number(aWords[0])) {
+      throw StepFailed(std::to_string(crashes) + " were lost");
+    }
+  });
+  aVocabulary.On("expect at least (\\d+) servers lost", [&](const Words& aWords) {
+    if (aStage.Fleet().Total().crashes < Number(aWords[0])) {
+      throw StepFailed("fewer were lost, so nothing is shown");
+    }
+  });
+  aVocabulary.On("expect at most (\\d+) platform calls in any second", [&](const Words& aWords) {
+    uint64_t peak = aStage.Platform().Calls().peakPerSecond;
+    if (peak > Number(aWords[0])) {
+      throw StepFailed(std::to_string(peak) + " calls in one second");
+    }
+  });
+}
+
+void
+AddFleetExpectations(Vocabulary& aVocabulary, Stage& aStage)
+{
+  aVocabulary.On("expect stopped instances exit with 0", [&](const Words&) {
+    aStage.WaitForBackground();
+    size_t asked = 0;
+    for (const InstanceProcess& instance : aStage.Instances()) {
+      asked += instance.asked ? 1 : 0;
+      if (instance.asked && instance.exitCode != 0) {
+        throw StepFailed("an instance exited with " + std::to_string(instance.exitCode));
+      }
+    }
+    if (asked == 0) {
+      throw StepFailed("no instance was asked to stop");
+    }
+  });
+  aVocabulary.On("expect generations never went back", [&](const Words&) {
+    if (aStage.GenerationsFallen() > 0) {
+      throw StepFailed("an instance's generation fell");
+    }
+  });
+  aVocabulary.On("expect all instances reach generation (\\d+)", [&](const Words& aWords) {
+    constexpr base::Duration kLimit = std::chrono::seconds(15);
+    base::Instant end = base::Now() + kLimit;
+    for (size_t number = 1; number <= aStage.Instances().size(); ++number) {
+      while (!aStage.Instances()[number - 1].ended &&
+             aStage.GenerationOf(number) < Number(aWords[0])) {
+        if (base::Now() >= end) {
+          throw StepFailed("instance " + std::to_string(number) + " stays at " +
+                           std::to_string(aStage.GenerationOf(number)));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      }
+    }
+  });
+  aVocabulary.On(
+    "expect the audit trail has (\\d+) accepted and (\\d+) lost", [&](const Words& aWords) {
+      base::Result<std::vector<operations::AuditEntry>> trail =
+        operations::ReadAudit(aStage.Platform());
+      if (!trail) {
+        throw StepFailed("the trail cannot be read");
+      }
+      std::set<uint64_t> generations;
+      size_t lost = 0;
+      for (const operations::AuditEntry& entry : *trail) {
+        bool accepted = entry.outcome == operations::AuditOutcome::Accepted;
+        lost += accepted ? 0 : 1;
+        if (accepted && !generations.insert(entry.generation).second) {
+          throw StepFailed("generation " + std::to_string(entry.generation) + " stands twice");
+        }
+      }
+      if (generations.size() != Number(aWords[0]) || lost != Number(aWords[1])) {
+        throw StepFailed(std::to_string(generations.size()) + " accepted, " + std::to_string(lost) +
+                         " lost");
+      }
+    });
+}
+
+} // namespace
+
+void
+AddActions(Vocabulary& aVocabulary, Stage& aStage)
+{
+  AddScene(aVocabulary, aStage);
+  AddLoads(aVocabulary, aStage);
+  AddInstanceFaults(aVocabulary, aStage);
+  AddPlatformFaults(aVocabulary, aStage);
+  AddUpstreamFaults(aVocabulary, aStage);
+  AddConfigurationSteps(aVocabulary, aStage);
+}
+
+void
+AddExpectations(Vocabulary& aVocabulary, Stage& aStage)
+{
+  AddRequestExpectations(aVocabulary, aStage);
+  AddUpstreamExpectations(aVocabulary, aStage);
+  AddFleetExpectations(aVocabulary, aStage);
+}
+
+void
+RunScript(const std::vector<Step>& aSteps, const Vocabulary& aVocabulary)
+{
+  static const std::regex kRun("run for (\\S+)");
+  std::vector<Step> timed;
+  auto run = [&](const Step& aStep) {
+    std::cout << "  line " << aStep.line << ": " << aStep.text << std::endl;
+    try {
+      aVocabulary.Do(aStep);
+    } catch (const StepFailed& failure) {
+      throw StepFailed("line " + std::to_string(aStep.line) + ": " + aStep.text + ": " +
+                       failure.what());
+    }
+  };
+  for (const Step& step : aSteps) {
+    std::smatch match;
+    if (step.at) {
+      timed.push_back(step);
+    } else if (std::regex_match(step.text, match, kRun)) {
+      std::stable_sort(timed.begin(), timed.end(), [](const Step& aLeft, const Step& aRight) {
+        return *aLeft.at < *aRight.at;
+      });
+      base::Instant start = base::Now();
+      for (const Step& due : timed) {
+        std::this_thread::sleep_until(start + *due.at);
+        run(due);
+      }
+      timed.clear();
+      std::this_thread::sleep_until(start + Span(match[1]));
+    } else {
+      run(step);
+    }
+  }
+}
+
+} // namespace sapphirewind::test
