Back off between tries of a claim's write

Each waiting claim tried again every 20 ms. Ruled out: the followers' watches (4 instances back off already, under 10 calls a second). Conclusion: tries double from 20 ms to 640 ms with jitter, bounded by the request's deadline.

--- a/libs/tier/src/ClaimWriter.cpp
+++ b/libs/tier/src/ClaimWriter.cpp
@@ -1,6 +1,7 @@
 #include <tier/ClaimWriter.h>
 
 #include <algorithm>
+#include <base/Random.h>
 #include <telemetry/Events.h>
 #include <thread>
 
@@ -8,7 +9,18 @@
 
 namespace {
 
-constexpr base::Duration kRetryPause = std::chrono::milliseconds(20);
+constexpr base::Duration kFirstPause = std::chrono::milliseconds(20);
+constexpr size_t kMaxPauseDoublings = 5;
+
+/// The pause before a try, longer each time and with jitter, so that a store in trouble is not
+/// stormed.
+base::Duration
+PauseBefore(size_t aTry)
+{
+  base::Duration span = kFirstPause * (1 << std::min(aTry, kMaxPauseDoublings));
+  double jitter = 0.5 + base::UniformUnit(base::ThreadRandom());
+  return base::Duration(static_cast<int64_t>(static_cast<double>(span.count()) * jitter));
+}
 
 /// Verdicts that an out-of-date copy of the bucket can give wrongly; they are checked on a fresh
 /// one.
@@ -119,11 +131,13 @@
   for (const std::shared_ptr<Pending>& pending : aBatch) {
     last = std::max(last, pending->deadline);
   }
-  bool done = false;
-  for (bool first = true; !done && (first || base::Now() < last); first = false) {
-    if (!first) {
-      std::this_thread::sleep_for(kRetryPause);
+  bool done = this->TryOnce(aIndex, aBucket, aBatch);
+  for (size_t attempt = 0; !done; ++attempt) {
+    base::Instant next = base::Now() + PauseBefore(attempt);
+    if (next >= last) {
+      break;
     }
+    std::this_thread::sleep_until(next);
     done = this->TryOnce(aIndex, aBucket, aBatch);
   }
   if (!done) {
