After a freeze, wait for the servers' own word and a peer's

Ruled out: requests sent before the freeze (the stand-in starts those at once). Conclusion: dispatch is held until a peer answered a question asked after the thaw and the health of the servers in use was asked, for at most 1 s.

--- a/libs/tier/include/tier/Freshness.h
+++ b/libs/tier/include/tier/Freshness.h
@@ -13,6 +13,14 @@
 /// The longest that work is held for a refresh; with nobody to ask, the old knowledge must do.
 constexpr base::Duration kLongestHold = std::chrono::milliseconds(1000);
 
+/// Whose word is wanted after a freeze. The platform's list lags, so it does not stand in for
+/// either.
+enum class Source
+{
+  Peers,  ///< A peer's answer: servers it heard to be leaving, requests it condemned.
+  Servers ///< The health of the servers in use, asked of themselves.
+};
+
 /// Thread-safe. A background thread ticks; every dispatch passes the gate.
 class Freshness
 {
@@ -22,8 +30,8 @@
   /// Called several times a second. Returns whether the process had stood still.
   bool Tick(base::Instant aNow);
 
-  /// Called when knowledge was brought up to date, by the platform or a peer, after a moment.
-  void OnRefreshed(base::Instant aNow);
+  /// A source's knowledge was taken in; it was asked for at a moment.
+  void OnRefreshed(Source aSource, base::Instant aAskedAt);
 
   /// Returns false at once while fresh. After a freeze, waits for the refresh or the longest hold
   /// and returns true: what was decided before must be decided again.
@@ -38,6 +46,8 @@
   std::condition_variable changed;
   std::atomic<bool> stale{ false };
   base::Instant staleSince{};
+  bool peersHeard = false;
+  bool serversHeard = false;
 };
 
 } // namespace sapphirewind::tier
--- a/libs/tier/src/Freshness.cpp
+++ b/libs/tier/src/Freshness.cpp
@@ -17,14 +17,21 @@
   std::lock_guard<std::mutex> lock(this->mutex);
   this->stale = true;
   this->staleSince = aNow;
+  this->peersHeard = false;
+  this->serversHeard = false;
   return true;
 }
 
 void
-Freshness::OnRefreshed(base::Instant aNow)
+Freshness::OnRefreshed(Source aSource, base::Instant aAskedAt)
 {
   std::lock_guard<std::mutex> lock(this->mutex);
-  if (this->stale && aNow >= this->staleSince) {
+  if (!this->stale || aAskedAt < this->staleSince) {
+    return;
+  }
+  this->peersHeard = this->peersHeard || aSource == Source::Peers;
+  this->serversHeard = this->serversHeard || aSource == Source::Servers;
+  if (this->peersHeard && this->serversHeard) {
     this->stale = false;
     this->changed.notify_all();
   }
--- a/libs/tier/src/Gossip.cpp
+++ b/libs/tier/src/Gossip.cpp
@@ -72,7 +72,6 @@
   if (after != before) {
     telemetry::Log(telemetry::Event::RumourRefuted, { { "incarnation", std::to_string(after) } });
   }
-  this->context.freshness.OnRefreshed(now);
   if (!changed.empty()) {
     this->context.onChange();
   }
@@ -89,6 +88,7 @@
 Gossip::Probe(const membership::Member& aTarget)
 {
   GossipMessage message = this->Compose();
+  base::Instant asked = base::Now();
   base::Result<Json::Value> answer = this->context.peers.Call(
     aTarget.address, "gossip", ToJson(message), CallOptions{ .timeout = kProbeTimeout });
   if (!answer) {
@@ -100,6 +100,9 @@
     return true;
   }
   this->TakeIn(*reply);
+  // Only what was asked for after a thaw is fresh: a peer's own message may have waited in the
+  // socket for as long as this process stood still.
+  this->context.freshness.OnRefreshed(Source::Peers, asked);
   if (reply->digest != this->context.objects.Digest()) {
     this->ExchangeObjects(aTarget.address);
   }
@@ -189,6 +192,8 @@
     }
   }
   if (targets.empty()) {
+    // Alone: there is no peer's word to wait for.
+    this->context.freshness.OnRefreshed(Source::Peers, base::Now());
     for (const std::string& seed : this->seeds) {
       this->Probe(membership::Member{ .name = seed, .address = seed });
     }
--- a/libs/tier/src/Instance.cpp
+++ b/libs/tier/src/Instance.cpp
@@ -287,8 +287,14 @@
 void
 Instance::Impl::HealthLoop()
 {
-  while (this->Pause(kHealthEvery)) {
+  while (!this->ending) {
+    base::Instant asked = base::Now();
     this->cells.PollHealth();
+    this->freshness.OnRefreshed(Source::Servers, asked);
+    base::Instant end = asked + kHealthEvery;
+    while (!this->ending && base::Now() < end && !this->freshness.IsStale()) {
+      std::this_thread::sleep_for(kNewsCheck);
+    }
   }
 }
 
--- a/libs/tier/src/PlatformFollower.cpp
+++ b/libs/tier/src/PlatformFollower.cpp
@@ -83,7 +83,6 @@
 base::Duration
 PlatformFollower::Step(bool aWatcher, size_t aFleet, base::Random& aRandom)
 {
-  base::Instant asked = base::Now();
   bool stale = this->context.freshness.IsStale();
   bool list = !aWatcher || stale || this->revision == 0;
   ++this->context.counters.storeCalls;
@@ -94,9 +93,6 @@
     return BackoffAfter(this->failures, aRandom);
   }
   bool complete = this->ReadChanges(*answer);
-  if (list) {
-    this->context.freshness.OnRefreshed(asked);
-  }
   if (!complete) {
     return BackoffAfter(1, aRandom);
   }
