--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -14,8 +14,12 @@
 # sapphirewind_test(NAME SOURCES ... DEPS ...): a Boost.Test program known to CTest.
 function(sapphirewind_test name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
-  add_executable(${name} ${ARG_SOURCES})
-  target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK BOOST_TEST_MODULE=${name})
+  # The program's main, in a file of its own so that tests can stand in several.
+  set(main ${CMAKE_CURRENT_BINARY_DIR}/${name}_main.cpp)
+  file(CONFIGURE OUTPUT ${main}
+    CONTENT "#define BOOST_TEST_MODULE ${name}\n#include <boost/test/unit_test.hpp>\n")
+  add_executable(${name} ${main} ${ARG_SOURCES})
+  target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
   target_link_libraries(${name} PRIVATE ${ARG_DEPS} Boost::unit_test_framework)
   add_test(NAME ${name} COMMAND ${name} --log_level=test_suite)
 endfunction()
--- /dev/null
+++ b/libs/admission/test/AdmissionTest.cpp
@@ -0,0 +1,126 @@
+#include <admission/ConcurrencyLimit.h>
+#include <admission/RankQueue.h>
+#include <boost/test/unit_test.hpp>
+
+using namespace sapphirewind;
+using namespace sapphirewind::admission;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::Instant kStart{ 100s };
+const model::Service kUrgent{ .className = "urgent", .rank = model::Rank::Urgent, .floor = 0.0 };
+const model::Service kEveryday{ .className = "everyday",
+                                .rank = model::Rank::Everyday,
+                                .floor = 0.2 };
+const model::Service kNightly{ .className = "nightly",
+                               .rank = model::Rank::Deferrable,
+                               .floor = 0.05 };
+
+/// Serves a queue in which every class always has work; returns how often each was served.
+std::map<std::string, size_t>
+ServeFlood(size_t aTimes)
+{
+  RankQueue queue;
+  uint64_t id = 0;
+  std::map<std::string, size_t> served;
+  base::Instant now = kStart;
+  for (size_t time = 0; time < aTimes; ++time) {
+    for (const model::Service& service : { kUrgent, kEveryday, kNightly }) {
+      queue.Push(WorkItem{ .id = ++id, .handling = service, .arrived = now, .deadline = now + 1h });
+    }
+    ++served[queue.Pop(now)->handling.className];
+    now += 1ms;
+  }
+  return served;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(waiting_work)
+
+BOOST_AUTO_TEST_CASE(goes_by_rank_then_by_deadline)
+{
+  RankQueue queue;
+  model::Service everyday = kEveryday;
+  everyday.floor = 0.0;
+  queue.Push(WorkItem{ .id = 1, .handling = everyday, .deadline = kStart + 1s });
+  queue.Push(WorkItem{ .id = 2, .handling = kUrgent, .deadline = kStart + 9s });
+  queue.Push(WorkItem{ .id = 3, .handling = kUrgent, .deadline = kStart + 8s });
+  BOOST_TEST(queue.Pop(kStart)->id == 3U);
+  BOOST_TEST(queue.Pop(kStart)->id == 2U);
+  BOOST_TEST(queue.Pop(kStart)->id == 1U);
+  BOOST_TEST(!queue.Pop(kStart));
+}
+
+BOOST_AUTO_TEST_SUITE(in_a_flood_of_urgent_work)
+
+BOOST_AUTO_TEST_CASE(keeps_the_floor_of_each_class)
+{
+  std::map<std::string, size_t> served = ServeFlood(10'000);
+  BOOST_TEST(static_cast<double>(served["everyday"]) >= 0.2 * 10'000 * 0.98);
+  BOOST_TEST(static_cast<double>(served["nightly"]) >= 0.05 * 10'000 * 0.98);
+  BOOST_TEST(static_cast<double>(served["urgent"]) >= 0.74 * 10'000);
+}
+
+BOOST_AUTO_TEST_CASE(gives_way_from_the_lowest_rank_when_full)
+{
+  RankQueue queue;
+  queue.Push(WorkItem{ .id = 1, .handling = kNightly, .deadline = kStart + 1s });
+  queue.Push(WorkItem{ .id = 2, .handling = kNightly, .deadline = kStart + 5s });
+  queue.Push(WorkItem{ .id = 3, .handling = kEveryday, .deadline = kStart + 9s });
+  BOOST_TEST(queue.EvictBelow(model::Rank::Urgent)->id == 2U);
+  BOOST_TEST(queue.EvictBelow(model::Rank::Urgent)->id == 1U);
+  BOOST_TEST(queue.EvictBelow(model::Rank::Urgent)->id == 3U);
+  BOOST_TEST(!queue.EvictBelow(model::Rank::Urgent));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(is_dropped_early_when_it_cannot_be_in_time)
+{
+  RankQueue queue;
+  queue.Push(WorkItem{ .id = 1, .handling = kUrgent, .deadline = kStart + 5ms });
+  queue.Push(WorkItem{ .id = 2, .handling = kUrgent, .deadline = kStart + 50ms });
+  std::vector<WorkItem> dropped = queue.DropLate(kStart, 10ms);
+  BOOST_REQUIRE(dropped.size() == 1U);
+  BOOST_TEST(dropped[0].id == 1U);
+  BOOST_TEST(queue.Size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_concurrency_limit)
+
+BOOST_AUTO_TEST_CASE(falls_on_long_waits_once_a_burst_and_grows_while_used)
+{
+  ConcurrencyLimit limit;
+  LimitOptions options;
+  double before = limit.limit;
+  OnFinished(limit, options, 100ms, 16, kStart);
+  OnFinished(limit, options, 100ms, 16, kStart);
+  BOOST_TEST(limit.limit == before * options.decrease);
+  double low = limit.limit;
+  OnFinished(limit, options, 1ms, 1, kStart);
+  BOOST_TEST(limit.limit == low);
+  OnFinished(limit, options, 1ms, 16, kStart);
+  BOOST_TEST(limit.limit > low);
+}
+
+BOOST_AUTO_TEST_CASE(leaves_room_for_urgent_work)
+{
+  ConcurrencyLimit limit{ .limit = 10.0 };
+  BOOST_TEST(!MayStart(limit, model::Rank::Deferrable, 8));
+  BOOST_TEST(MayStart(limit, model::Rank::Everyday, 8));
+  BOOST_TEST(MayStart(limit, model::Rank::Urgent, 9));
+  BOOST_TEST(!MayStart(limit, model::Rank::Urgent, 10));
+}
+
+BOOST_AUTO_TEST_CASE(tells_refused_callers_when_to_come_back)
+{
+  BOOST_TEST(RetryAfterSeconds(1ms) == 1);
+  BOOST_TEST(RetryAfterSeconds(2500ms) == 3);
+  BOOST_TEST(RetryAfterSeconds(10min) == 30);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/config/test/ConfigurationTest.cpp
@@ -0,0 +1,142 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <config/AlertState.h>
+#include <config/Configuration.h>
+#include <config/Settings.h>
+
+using namespace sapphirewind;
+using namespace sapphirewind::config;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string
+WithClass(const std::string& aMembers)
+{
+  return "{\"classes\": {\"desk\": {\"service\": \"s\", \"rank\": \"urgent\", \"answer_within\": "
+         "\"100ms\","
+         "\"for_share\": \"99%\", \"least_coverage\": \"100%\"" +
+         aMembers + "}}}";
+}
+
+bool
+Mentions(const document::Problems& aProblems, const std::string& aText)
+{
+  return std::any_of(aProblems.begin(), aProblems.end(), [&](const document::Problem& aProblem) {
+    return document::Describe(aProblem).find(aText) != std::string::npos;
+  });
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(a_configuration)
+
+BOOST_AUTO_TEST_CASE(states_targets_for_each_class)
+{
+  document::Problems problems;
+  auto parsed = ParseConfiguration(WithClass(", \"keeps_in_flood\": \"20%\""), problems);
+  BOOST_REQUIRE(parsed);
+  const RequestClass* desk = parsed->FindClass("desk");
+  BOOST_REQUIRE(desk);
+  BOOST_TEST((desk->answerWithin == 100ms));
+  BOOST_TEST(desk->keepsInFlood == 0.2);
+}
+
+BOOST_AUTO_TEST_SUITE(refuses)
+
+BOOST_AUTO_TEST_CASE(weights_and_addresses_with_advice)
+{
+  document::Problems problems;
+  BOOST_TEST(
+    !ParseConfiguration(WithClass(", \"weight\": 3, \"address\": \"10.0.0.1\""), problems));
+  BOOST_TEST(Mentions(problems, "classes.desk.weight: weights cannot be set"));
+  BOOST_TEST(Mentions(problems, "classes.desk.address: addresses cannot be set"));
+}
+
+BOOST_AUTO_TEST_CASE(what_cannot_be_reached)
+{
+  document::Problems problems;
+  std::string text = WithClass("");
+  text.replace(text.find("100ms"), 5, "1ms");
+  text.replace(text.find("99%"), 3, "100%");
+  BOOST_TEST(!ParseConfiguration(text, problems));
+  BOOST_TEST(Mentions(problems, "answer_within: unreachable"));
+  BOOST_TEST(Mentions(problems, "for_share: unreachable"));
+}
+
+BOOST_AUTO_TEST_CASE(floors_that_leave_nothing_for_urgent_work)
+{
+  document::Problems problems;
+  BOOST_TEST(!ParseConfiguration(WithClass(", \"keeps_in_flood\": \"95%\""), problems));
+  BOOST_TEST(Mentions(problems, "more than 90%"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(holds_alert_rules)
+
+BOOST_AUTO_TEST_CASE(that_keep_their_line)
+{
+  std::string error;
+  std::string line = "Slow: request_latency_p99_ms{class=\"desk\"} > 120.5 for 30s";
+  auto rule = ParseAlertRule(line, error);
+  BOOST_REQUIRE(rule);
+  BOOST_TEST(rule->line == line);
+  BOOST_TEST(rule->threshold == 120.5);
+  BOOST_TEST((rule->hold == 30s));
+  BOOST_TEST(!ParseAlertRule("Slow: made_up_metric > 1", error));
+  BOOST_TEST(error.find("made_up_metric") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(that_fire_only_after_their_hold_time)
+{
+  std::string error;
+  std::vector<AlertRule> rules = { *ParseAlertRule(
+    "Low: request_coverage{class=\"desk\"} < 0.9 for 2s", error) };
+  std::vector<Figure> other = { { "request_coverage", { { "class", "van" } }, 0.1 } };
+  std::vector<Figure> low = { { "request_coverage", { { "class", "desk" } }, 0.5 } };
+  AlertMemory memory;
+  base::Instant start{};
+  BOOST_TEST(!EvaluateAlerts(rules, other, memory, start).front().firing);
+  BOOST_TEST(!EvaluateAlerts(rules, low, memory, start).front().firing);
+  BOOST_TEST(!EvaluateAlerts(rules, low, memory, start + 1s).front().firing);
+  BOOST_TEST(EvaluateAlerts(rules, low, memory, start + 2s).front().firing);
+  BOOST_TEST(!EvaluateAlerts(rules, {}, memory, start + 3s).front().firing);
+  BOOST_TEST(!EvaluateAlerts(rules, low, memory, start + 4s).front().firing);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(describes_what_changed)
+{
+  document::Problems problems;
+  auto before = ParseConfiguration(WithClass(""), problems);
+  auto after = ParseConfiguration(WithClass(", \"keeps_in_flood\": \"20%\""), problems);
+  BOOST_TEST(DescribeChanges(*before, *before).empty());
+  BOOST_TEST(DescribeChanges(*before, *after).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_instances_settings)
+
+BOOST_AUTO_TEST_CASE(name_its_own_place_only)
+{
+  document::Problems problems;
+  auto settings = ParseSettings("{\"name\":\"i1\",\"region\":\"r1\",\"availability_zone\":\"a\","
+                                "\"listen\":\"127.0.0.1:80\",\"platform\":\"127.0.0.1:81\"}",
+                                problems);
+  BOOST_REQUIRE(settings);
+  BOOST_TEST(settings->zone == "a");
+}
+
+BOOST_AUTO_TEST_CASE(are_refused_with_all_problems)
+{
+  document::Problems problems;
+  BOOST_TEST(!ParseSettings("{\"name\":\"i1\",\"listen\":\"somewhere\",\"weight\":1}", problems));
+  BOOST_TEST(Mentions(problems, "listen: must be an IP address"));
+  BOOST_TEST(Mentions(problems, "platform: is missing"));
+  BOOST_TEST(Mentions(problems, "weight: unknown key"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/membership/test/ViewTest.cpp
@@ -0,0 +1,129 @@
+#include <boost/test/unit_test.hpp>
+#include <membership/View.h>
+
+using namespace sapphirewind;
+using namespace sapphirewind::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::Instant kStart{ 100s };
+
+Member
+Make(const std::string& aName, int64_t aIncarnation, MemberState aState = MemberState::Alive)
+{
+  return Member{ .name = aName,
+                 .address = "127.0.0.1:1",
+                 .region = "r1",
+                 .zone = "r1a",
+                 .incarnation = aIncarnation,
+                 .state = aState };
+}
+
+View
+ViewOf(const std::string& aSelf, const std::vector<std::string>& aOthers)
+{
+  View view;
+  view.self = Make(aSelf, 10);
+  for (const std::string& name : aOthers) {
+    OnHeard(view, Make(name, 10), kStart);
+  }
+  return view;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(a_view)
+
+BOOST_AUTO_TEST_SUITE(of_a_silent_member)
+
+BOOST_AUTO_TEST_CASE(suspects_it_then_takes_it_for_dead_then_forgets_it)
+{
+  View view = ViewOf("a", { "b" });
+  Timing timing;
+  OnSilent(view, "b", kStart);
+  BOOST_TEST((Serving(view, "r1") == std::vector<std::string>{ "a", "b" }));
+  BOOST_TEST(Expire(view, timing, kStart + timing.suspectTime - 1ms).empty());
+  BOOST_TEST(Expire(view, timing, kStart + timing.suspectTime).size() == 1U);
+  BOOST_TEST((Serving(view, "r1") == std::vector<std::string>{ "a" }));
+  Expire(view, timing, kStart + timing.suspectTime + timing.forgetTime);
+  BOOST_TEST(view.others.empty());
+}
+
+BOOST_AUTO_TEST_CASE(believes_its_own_word)
+{
+  View view = ViewOf("a", { "b" });
+  OnSilent(view, "b", kStart);
+  OnHeard(view, Make("b", 10), kStart);
+  BOOST_TEST((view.others["b"].member.state == MemberState::Alive));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(hearing_rumours)
+
+BOOST_AUTO_TEST_CASE(takes_the_higher_incarnation_then_the_worse_state)
+{
+  View view = ViewOf("a", { "b" });
+  MergeRumours(view, { Make("b", 9, MemberState::Dead) }, kStart);
+  BOOST_TEST((view.others["b"].member.state == MemberState::Alive));
+  MergeRumours(view, { Make("b", 10, MemberState::Leaving) }, kStart);
+  BOOST_TEST((view.others["b"].member.state == MemberState::Leaving));
+  MergeRumours(view, { Make("b", 10) }, kStart);
+  BOOST_TEST((view.others["b"].member.state == MemberState::Leaving));
+  MergeRumours(view, { Make("b", 11) }, kStart);
+  BOOST_TEST((view.others["b"].member.state == MemberState::Alive));
+}
+
+BOOST_AUTO_TEST_CASE(refutes_those_against_itself)
+{
+  View view = ViewOf("a", { "b" });
+  MergeRumours(view, { Make("a", 10, MemberState::Suspect) }, kStart);
+  BOOST_TEST(view.self.incarnation == 11);
+  MergeRumours(view, { Make("a", 5, MemberState::Dead) }, kStart);
+  BOOST_TEST(view.self.incarnation == 11);
+}
+
+BOOST_AUTO_TEST_CASE(passes_each_on_a_bounded_number_of_times)
+{
+  View view = ViewOf("a", { "b", "c" });
+  size_t sent = 0;
+  for (int round = 0; round < 100; ++round) {
+    sent += TakeRumours(view, 8).size();
+  }
+  BOOST_TEST(sent > 2U);
+  BOOST_TEST(sent <= 2U * 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(adds_what_the_platform_lists_but_removes_nothing_for_it)
+{
+  View view = ViewOf("a", { "b" });
+  ApplyPlatformList(
+    view,
+    { model::InstanceRecord{ .name = "c", .address = "x", .region = "r1", .zone = "r1a" } },
+    kStart);
+  BOOST_TEST((Serving(view, "r1") == std::vector<std::string>{ "a", "b", "c" }));
+}
+
+BOOST_AUTO_TEST_CASE(has_few_watchers_a_zone)
+{
+  size_t watchers = 0;
+  std::vector<std::string> names;
+  for (int index = 0; index < 20; ++index) {
+    names.push_back("m" + std::to_string(index));
+  }
+  for (const std::string& name : names) {
+    std::vector<std::string> others;
+    for (const std::string& other : names) {
+      if (other != name) {
+        others.push_back(other);
+      }
+    }
+    watchers += IsWatcher(ViewOf(name, others), 2) ? 1 : 0;
+  }
+  BOOST_TEST(watchers == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/routing/src/Replica.cpp
+++ b/libs/routing/src/Replica.cpp
@@ -230,7 +230,7 @@
 {
   Release(aReplica);
   double elapsed = base::ToFractionalMillis(aElapsed);
-  if (elapsed > aReplica.latencyMs) {
+  if (elapsed >= aReplica.latencyMs) {
     AddSample(aReplica, elapsed);
   }
 }
--- a/libs/telemetry/include/telemetry/Events.h
+++ b/libs/telemetry/include/telemetry/Events.h
@@ -27,7 +27,6 @@
   StopForced = 105,
   CannotStart = 106,
   ClockJumped = 110,
-  Refreshed = 111,
   ConfigurationInForce = 200,
   ConfigurationRejected = 201,
   ObjectMalformed = 202,
--- a/libs/telemetry/src/Events.cpp
+++ b/libs/telemetry/src/Events.cpp
@@ -50,7 +50,6 @@
     { Event::StopForced, Level::Error, "StopForced" },
     { Event::CannotStart, Level::Error, "CannotStart" },
     { Event::ClockJumped, Level::Warning, "ClockJumped" },
-    { Event::Refreshed, Level::Info, "Refreshed" },
     { Event::ConfigurationInForce, Level::Info, "ConfigurationInForce" },
     { Event::ConfigurationRejected, Level::Error, "ConfigurationRejected" },
     { Event::ObjectMalformed, Level::Error, "ObjectMalformed" },
