--- a/libs/tier/src/SearchService.cpp
+++ b/libs/tier/src/SearchService.cpp
@@ -307,10 +307,9 @@
   if (wantsCanary && !this->RunCanary(aRun, request, outcome)) {
     return outcome;
   }
-  for (const auto& [name, group] : outcome.groups) {
-    std::erase_if(request.groups,
-                  [&](const model::GroupTask& aTask) { return aTask.group == name; });
-  }
+  std::erase_if(request.groups, [&](const model::GroupTask& aTask) {
+    return outcome.groups.count(aTask.group) > 0;
+  });
   ScatterOutcome rest =
     RunScatter(this->context.scatter, this->avoided, aRun.world, request, aRun.deadline);
   rest.hits = model::MergeTop(std::move(rest.hits), std::move(outcome.hits), request.top);
