Decide again what was chosen before a freeze

Ruled out: the hold running out after 1 s (no load on the machine explains it; the log shows the refresh). Conclusion: every dispatch carries the epoch it was chosen in and is sent only in that one.

--- a/libs/tier/include/tier/Cell.h
+++ b/libs/tier/include/tier/Cell.h
@@ -46,6 +46,10 @@
   auto operator<=>(const CellRole&) const = default;
 };
 
+/// A request that has run this long without bringing its server down counts as harmless while no
+/// alarm is on.
+constexpr base::Duration kSurvivalTime = std::chrono::milliseconds(4);
+
 /// Figures of a cell for status pages.
 struct CellStatus
 {
@@ -87,6 +91,16 @@
   /// Whether some server that can be used has a snapshot, as far as is known.
   bool HasSnapshot(const std::string& aSnapshot);
 
+  /// How far a request's first try has come.
+  enum class Survival
+  {
+    Absent,   ///< Not here, not yet or no more.
+    Waiting,  ///< Not with a server for long enough yet.
+    Survived, ///< It has run on a server for the survival time, and the server still stands.
+    Lost      ///< A server was lost under it.
+  };
+  Survival SurvivalOf(const std::string& aRequestId, base::Instant aNow) const;
+
   /// Asks each server for its health.
   void PollHealth();
 
@@ -112,6 +126,8 @@
     std::shared_ptr<net::ConnectionPool> pool;
     net::Endpoint endpoint;
     model::AttemptRequest request;
+    /// The freshness epoch in which the server was chosen.
+    uint64_t epoch = 0;
   };
 
   void ApplyServers(const std::vector<model::ServerRecord>& aServers);
--- a/libs/tier/include/tier/Freshness.h
+++ b/libs/tier/include/tier/Freshness.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <base/Time.h>
 #include <condition_variable>
+#include <cstdint>
 #include <mutex>
 
 namespace sapphirewind::tier {
@@ -37,6 +38,9 @@
   /// and returns true: what was decided before must be decided again.
   bool Pass();
 
+  /// Grows with every freeze noticed. What was decided under another epoch must be decided again.
+  uint64_t Epoch() const { return this->epoch; }
+
   /// Whether a refresh is wanted.
   bool IsStale() const;
 
@@ -45,6 +49,7 @@
   mutable std::mutex mutex;
   std::condition_variable changed;
   std::atomic<bool> stale{ false };
+  std::atomic<uint64_t> epoch{ 0 };
   base::Instant staleSince{};
   bool peersHeard = false;
   bool serversHeard = false;
--- a/libs/tier/include/tier/Scatter.h
+++ b/libs/tier/include/tier/Scatter.h
@@ -34,9 +34,13 @@
   void Note(const std::string& aName, base::Instant aNow);
   bool IsAvoided(const std::string& aName, base::Instant aNow) const;
 
+  /// Whether a peer may be pinged now; at most one ping a peer in the time that one may take.
+  bool TakePing(const std::string& aName, base::Instant aNow);
+
 private:
   mutable std::mutex mutex;
   std::map<std::string, base::Instant> until;
+  std::map<std::string, base::Instant> pingedAt;
 };
 
 /// The instance to ask for a group: an owner that can be reached, else a standby. Pure.
@@ -54,14 +58,25 @@
   std::vector<model::Hit> hits;
 };
 
+/// How a query that no upstream has answered yet is tried at one group first.
+struct Canary
+{
+  /// The group tried first; empty tries all at once.
+  std::string group;
+  /// Waits for the group's whole answer rather than for the request's survival there.
+  bool strict = false;
+};
+
 /// Sends a query's groups to their owners, at most one message an owner; asks the next in order
 /// when an owner cannot be reached or has fallen silent; returns by the deadline with what has
-/// come.
+/// come. With a canary, the other groups are asked only once its group shows the request to be
+/// harmless.
 ScatterOutcome
 RunScatter(ScatterContext& aContext,
            AvoidedPeers& aAvoided,
            const WorldPointer& aWorld,
            const model::ScatterRequest& aRequest,
+           const Canary& aCanary,
            base::Instant aDeadline);
 
 } // namespace sapphirewind::tier
--- a/libs/tier/include/tier/SearchService.h
+++ b/libs/tier/include/tier/SearchService.h
@@ -58,7 +58,6 @@
 private:
   struct Run;
   model::SearchAnswer Admitted(Run& aRun);
-  bool RunCanary(Run& aRun, const model::ScatterRequest& aRequest, ScatterOutcome& aOutcome);
   ScatterOutcome RunPinned(Run& aRun, const model::Snapshot& aSnapshot);
   bool IsReadyEverywhere(const World& aWorld,
                          const ServiceWorld& aService,
--- a/libs/tier/include/tier/Shared.h
+++ b/libs/tier/include/tier/Shared.h
@@ -26,6 +26,11 @@
   void OnPeerCondemned(const quarantine::Condemned& aCondemned, base::Instant aNow);
   std::vector<quarantine::Condemned> ListCondemned(base::Instant aNow) const;
 
+  /// Whether unknown requests should be tried strictly one group first.
+  bool IsAlarmed(base::Instant aNow) const;
+  /// Drops records whose time is over.
+  void Expire(base::Instant aNow);
+
   /// Whether an upstream has answered this request before; such a request needs no canary.
   bool IsKnownHarmless(quarantine::Fingerprint aFingerprint) const;
 
--- a/libs/tier/src/Cell.cpp
+++ b/libs/tier/src/Cell.cpp
@@ -470,14 +470,16 @@
                    .attempt = std::move(attempt),
                    .pool = state.pool,
                    .endpoint = state.endpoint,
-                   .request = std::move(request) };
+                   .request = std::move(request),
+                   .epoch = this->context.freshness.Epoch() };
 }
 
 AttemptResult
 Cell::Run(Dispatch& aDispatch)
 {
   // After a freeze the choice of server may be out of date: nothing is sent, the ticket goes back.
-  if (this->context.freshness.Pass()) {
+  bool waited = this->context.freshness.Pass();
+  if (waited || aDispatch.epoch != this->context.freshness.Epoch()) {
     return AttemptResult{ .end = AttemptEnd::NotSent, .detail = "refreshed after a freeze" };
   }
   base::Duration remaining = aDispatch.ticket->deadline - base::Now();
--- a/libs/tier/src/CellConclude.cpp
+++ b/libs/tier/src/CellConclude.cpp
@@ -358,6 +358,30 @@
     });
 }
 
+Cell::Survival
+Cell::SurvivalOf(const std::string& aRequestId, base::Instant aNow) const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  auto isIt = [&](const TicketPointer& aTicket) {
+    return !aTicket->booking && aTicket->search.requestId == aRequestId;
+  };
+  auto found = std::find_if(this->running.begin(), this->running.end(), isIt);
+  if (found != this->running.end() && !(*found)->live.empty()) {
+    if ((*found)->alone) {
+      return Survival::Lost;
+    }
+    bool longEnough = aNow - (*found)->live.front()->sentAt >= kSurvivalTime;
+    return longEnough ? Survival::Survived : Survival::Waiting;
+  }
+  if (std::any_of(this->aloneWaiting.begin(), this->aloneWaiting.end(), isIt)) {
+    return Survival::Lost;
+  }
+  bool queued = std::any_of(this->waiting.begin(), this->waiting.end(), [&](const auto& aEntry) {
+    return isIt(aEntry.second);
+  });
+  return queued ? Survival::Waiting : Survival::Absent;
+}
+
 void
 Cell::PollHealth()
 {
--- a/libs/tier/src/CellTable.cpp
+++ b/libs/tier/src/CellTable.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr base::Duration kSurvivalCheck = std::chrono::milliseconds(1);
+constexpr base::Duration kSurvivalPatience = std::chrono::milliseconds(20);
 constexpr base::Duration kCloseAfterIdle = std::chrono::seconds(10);
 
 /// Gathers the ends of one query's groups.
@@ -177,6 +179,32 @@
   return lacking;
 }
 
+bool
+CellTable::WaitSurvival(const std::string& aService,
+                        const std::string& aGroup,
+                        const std::string& aRequestId,
+                        base::Instant aDeadline)
+{
+  std::shared_ptr<Cell> cell =
+    this->Open(*this->world.Get(), Key{ .service = aService, .group = aGroup });
+  // The question may overtake the request by a little; one that has been answered is gone for good.
+  base::Instant givingUp = base::Now() + kSurvivalPatience;
+  bool seen = false;
+  while (cell && base::Now() < aDeadline) {
+    Cell::Survival survival = cell->SurvivalOf(aRequestId, base::Now());
+    bool absent = survival == Cell::Survival::Absent;
+    if (survival == Cell::Survival::Survived || survival == Cell::Survival::Lost) {
+      return survival == Cell::Survival::Survived;
+    }
+    if (absent && (seen || base::Now() >= givingUp)) {
+      return false;
+    }
+    seen = seen || !absent;
+    std::this_thread::sleep_for(kSurvivalCheck);
+  }
+  return false;
+}
+
 void
 CellTable::Apply(const World& aWorld, base::Instant aNow)
 {
--- a/libs/tier/src/Freshness.cpp
+++ b/libs/tier/src/Freshness.cpp
@@ -16,6 +16,7 @@
   }
   std::lock_guard<std::mutex> lock(this->mutex);
   this->stale = true;
+  ++this->epoch;
   this->staleSince = aNow;
   this->peersHeard = false;
   this->serversHeard = false;
--- a/libs/tier/src/Gate.cpp
+++ b/libs/tier/src/Gate.cpp
@@ -82,12 +82,13 @@
 {
   std::lock_guard<std::mutex> lock(this->mutex);
   base::Instant now = base::Now();
-  admission::OnFinished(this->limit, this->options, aMeanWait, this->inFlight, now);
   --this->inFlight;
   double took = static_cast<double>(aTook.count());
   this->typicalMicros = this->typicalMicros == 0.0
                           ? took
                           : this->typicalMicros + kTypicalWeight * (took - this->typicalMicros);
+  base::Duration typical(static_cast<int64_t>(this->typicalMicros));
+  admission::OnFinished(this->limit, this->options, aMeanWait, typical, now);
   this->AdmitWaiting(now);
 }
 
--- a/libs/tier/src/Instance.cpp
+++ b/libs/tier/src/Instance.cpp
@@ -62,6 +62,7 @@
   Json::Value RpcGossip(const Json::Value& aParameters);
   Json::Value RpcProbe(const Json::Value& aParameters);
   Json::Value RpcLacking(const Json::Value& aParameters);
+  Json::Value RpcSurvival(const Json::Value& aParameters);
   Json::Value RpcVersions() const;
   Json::Value RpcObjects(const Json::Value& aParameters) const;
 
@@ -279,6 +280,7 @@
     }
     if (now >= applyAt) {
       this->cells.Apply(*this->world.Get(), now);
+      this->quarantine.Expire(now);
       applyAt = now + std::chrono::seconds(2);
     }
   }
@@ -472,7 +474,7 @@
   }
   constexpr base::Duration kOnBehalfTimeout = std::chrono::milliseconds(400);
   base::Result<Json::Value> answer = this->peers.Call(aParameters["address"].asString(),
-                                                      "versions",
+                                                      "ping",
                                                       Json::Value(Json::objectValue),
                                                       CallOptions{ .timeout = kOnBehalfTimeout });
   Json::Value value;
@@ -502,6 +504,23 @@
   return value;
 }
 
+Json::Value
+Instance::Impl::RpcSurvival(const Json::Value& aParameters)
+{
+  bool wellFormed = aParameters["service"].isString() && aParameters["group"].isString() &&
+                    aParameters["request"].isString() && aParameters["remaining_us"].isInt64();
+  if (!wellFormed) {
+    throw rpc::Refusal("malformed");
+  }
+  base::Instant deadline = base::Now() + base::Duration(aParameters["remaining_us"].asInt64());
+  Json::Value value;
+  value["survived"] = this->cells.WaitSurvival(aParameters["service"].asString(),
+                                               aParameters["group"].asString(),
+                                               aParameters["request"].asString(),
+                                               deadline);
+  return value;
+}
+
 Json::Value
 Instance::Impl::RpcVersions() const
 {
@@ -543,6 +562,8 @@
   this->dispatcher.Register("gossip", [this](Parameters aIn) { return this->RpcGossip(aIn); });
   this->dispatcher.Register("probe", [this](Parameters aIn) { return this->RpcProbe(aIn); });
   this->dispatcher.Register("lacking", [this](Parameters aIn) { return this->RpcLacking(aIn); });
+  this->dispatcher.Register("survival", [this](Parameters aIn) { return this->RpcSurvival(aIn); });
+  this->dispatcher.Register("ping", [](Parameters) { return Json::Value(Json::objectValue); });
   this->dispatcher.Register("versions", [this](Parameters) { return this->RpcVersions(); });
   this->dispatcher.Register("objects", [this](Parameters aIn) { return this->RpcObjects(aIn); });
   this->server.Route("POST", "/rpc", [this](const net::Request& aRequest) {
--- a/libs/tier/src/Scatter.cpp
+++ b/libs/tier/src/Scatter.cpp
@@ -10,11 +10,17 @@
 namespace {
 
 constexpr base::Duration kAvoidTime = std::chrono::milliseconds(1000);
-/// An owner that answered nobody for this long while it has a query is taken to be silent.
-constexpr base::Duration kSilence = std::chrono::milliseconds(60);
+/// An owner of which nothing was heard for this long while it has a query is pinged: a long answer
+/// and a frozen process look alike until then.
+constexpr base::Duration kPingAfter = std::chrono::milliseconds(50);
+constexpr base::Duration kPingTimeout = std::chrono::milliseconds(100);
+/// One that does not answer the ping either is silent.
+constexpr base::Duration kSilence = std::chrono::milliseconds(150);
 constexpr base::Duration kSilenceCheck = std::chrono::milliseconds(20);
 /// Kept back from the deadline for merging and the way back.
 constexpr base::Duration kReturnMargin = std::chrono::milliseconds(1);
+/// Kept back from the deadline given to an owner.
+constexpr base::Duration kOwnerMargin = std::chrono::milliseconds(3);
 constexpr size_t kMaxHops = 3;
 
 /// The state of one query's scatter, shared with the tasks that may outlive it.
@@ -90,6 +96,75 @@
   {
   }
 
+  /// Sends the canary's group alone and waits until the request shows to be harmless there. False
+  /// when it does not: the other groups must not be asked.
+  bool SendCanary(const Canary& aCanary)
+  {
+    std::vector<model::GroupTask> first;
+    for (const model::GroupTask& task : this->request.groups) {
+      if (task.group == aCanary.group) {
+        first.push_back(task);
+      }
+    }
+    this->canary = true;
+    this->Send(first, model::Outcome::NotRun);
+    this->canary = false;
+    if (!aCanary.strict) {
+      this->AskSurvival(aCanary.group);
+    }
+    std::unique_lock<std::mutex> lock(this->session.mutex);
+    this->session.changed.wait_until(lock, this->deadline - kReturnMargin, [&] {
+      return this->survived || this->session.outcome.groups.count(aCanary.group) > 0;
+    });
+    auto answer = this->session.outcome.groups.find(aCanary.group);
+    if (answer == this->session.outcome.groups.end()) {
+      return this->survived;
+    }
+    // A group that could not be asked at all proves nothing, but must not hold up the others.
+    bool neverRan = answer->second.outcome == model::Outcome::NotRun &&
+                    answer->second.error != model::Errc::Suspect;
+    return this->survived || neverRan || !answer->second.shards.empty();
+  }
+
+  /// Asks the canary's owner, in the background, whether the request survives there.
+  void AskSurvival(const std::string& aGroup)
+  {
+    std::shared_ptr<Message> message;
+    {
+      std::lock_guard<std::mutex> lock(this->session.mutex);
+      if (this->messages.empty()) {
+        return;
+      }
+      message = this->messages.back();
+    }
+    auto self = this->shared_from_this();
+    this->context.executor.Submit([self, message, aGroup] {
+      if (!self->SurvivesAt(*message, aGroup)) {
+        return;
+      }
+      std::lock_guard<std::mutex> lock(self->session.mutex);
+      self->survived = true;
+      self->session.changed.notify_all();
+    });
+  }
+
+  bool SurvivesAt(const Message& aMessage, const std::string& aGroup)
+  {
+    if (aMessage.owner == this->context.self) {
+      return this->context.cells.WaitSurvival(
+        this->request.service, aGroup, this->request.requestId, this->deadline);
+    }
+    base::Duration remaining = this->deadline - base::Now();
+    Json::Value parameters;
+    parameters["service"] = this->request.service;
+    parameters["group"] = aGroup;
+    parameters["request"] = this->request.requestId;
+    parameters["remaining_us"] = static_cast<Json::Int64>(remaining.count());
+    base::Result<Json::Value> answer = this->context.peers.Call(
+      aMessage.address, "survival", parameters, CallOptions{ .timeout = remaining });
+    return answer && (*answer)["survived"].isBool() && (*answer)["survived"].asBool();
+  }
+
   std::string Choose(const std::string& aGroup, base::Instant aNow)
   {
     if (this->context.experiment.dispatch == config::Dispatch::Direct) {
@@ -162,7 +237,9 @@
     }
     model::ScatterRequest part = this->request;
     part.groups = message->groups;
-    part.remaining = this->deadline - message->sentAt;
+    // The owner ends a little earlier, so that what it has by then comes back in time.
+    part.remaining = this->deadline - message->sentAt - kOwnerMargin;
+    part.canary = this->canary;
     auto self = this->shared_from_this();
     if (aOwner == this->context.self) {
       this->context.cells.Scatter(
@@ -191,7 +268,12 @@
     base::Instant now = base::Now();
     bool nothingRan = !result && (result.Error().code == PeerErrc::Unreachable ||
                                   result.Error().code == PeerErrc::Refused);
-    if (!result && result.Error().code != PeerErrc::Refused) {
+    // A peer that talks to others is there: this answer was late, and passing the peer over would
+    // only move its load to standbys, which have less room.
+    bool talks = now - this->context.peers.LastAnswer(aMessage.address) < kSilence;
+    bool gone = !result && (result.Error().code == PeerErrc::Unreachable ||
+                            (result.Error().code == PeerErrc::Lost && !talks));
+    if (gone) {
       this->avoided.Note(aMessage.owner, now);
       telemetry::Log(telemetry::Event::PeerUnreachable,
                      { { "peer", aMessage.owner }, { "why", result.Error().code.message() } });
@@ -214,18 +296,33 @@
     return open;
   }
 
+  /// Asks an owner for any word at all; its answer counts as heard by itself.
+  void Ping(const Message& aMessage, base::Instant aNow)
+  {
+    if (!this->avoided.TakePing(aMessage.owner, aNow)) {
+      return;
+    }
+    this->context.executor.Submit([self = this->shared_from_this(), address = aMessage.address] {
+      self->context.peers.Call(
+        address, "ping", Json::Value(Json::objectValue), CallOptions{ .timeout = kPingTimeout });
+    });
+  }
+
   /// Groups whose owner has fallen silent, each reported once.
   std::vector<model::GroupTask> TakeSilent(base::Instant aNow)
   {
     std::vector<model::GroupTask> silent;
     for (const std::shared_ptr<Message>& message : this->messages) {
       bool remote = message->owner != this->context.self;
-      if (!remote || message->answered || message->backedUp || aNow - message->sentAt < kSilence) {
+      if (!remote || message->answered || message->backedUp) {
         continue;
       }
-      base::Instant lastWord =
-        std::max(message->sentAt, this->context.peers.LastAnswer(message->address));
-      if (aNow - lastWord < kSilence) {
+      base::Duration quiet =
+        aNow - std::max(message->sentAt, this->context.peers.LastAnswer(message->address));
+      if (quiet >= kPingAfter) {
+        this->Ping(*message, aNow);
+      }
+      if (quiet < kSilence) {
         continue;
       }
       message->backedUp = true;
@@ -252,12 +349,23 @@
     return std::move(this->session.outcome);
   }
 
+  /// Ends without asking the groups that are left.
+  ScatterOutcome Close()
+  {
+    std::lock_guard<std::mutex> lock(this->session.mutex);
+    this->session.closed = true;
+    return std::move(this->session.outcome);
+  }
+
   ScatterContext& context;
   AvoidedPeers& avoided;
   const WorldPointer world;
   const model::ScatterRequest request;
   const base::Instant deadline;
   Session session;
+  /// Set while the canary's group is being sent.
+  bool canary = false;
+  bool survived = false;
   std::vector<std::shared_ptr<Message>> messages;
   std::map<size_t, std::string> chosenForBundle;
 };
@@ -279,6 +387,18 @@
   return found != this->until.end() && aNow < found->second;
 }
 
+bool
+AvoidedPeers::TakePing(const std::string& aName, base::Instant aNow)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  base::Instant& last = this->pingedAt[aName];
+  if (aNow - last < kPingTimeout / 2) {
+    return false;
+  }
+  last = aNow;
+  return true;
+}
+
 std::string
 ChooseOwner(const routing::GroupRoute& aRoute,
             const std::set<std::string>& aExcluded,
@@ -313,11 +433,20 @@
            AvoidedPeers& aAvoided,
            const WorldPointer& aWorld,
            const model::ScatterRequest& aRequest,
+           const Canary& aCanary,
            base::Instant aDeadline)
 {
   auto sender = std::make_shared<Sender>(aContext, aAvoided, aWorld, aRequest, aDeadline);
   sender->session.pendingGroups = aRequest.groups.size();
-  sender->Send(aRequest.groups, model::Outcome::NotRun);
+  std::vector<model::GroupTask> rest = aRequest.groups;
+  if (!aCanary.group.empty()) {
+    std::erase_if(rest,
+                  [&](const model::GroupTask& aTask) { return aTask.group == aCanary.group; });
+    if (!sender->SendCanary(aCanary)) {
+      return sender->Close();
+    }
+  }
+  sender->Send(rest, model::Outcome::NotRun);
   return sender->Wait();
 }
 
--- a/libs/tier/src/SearchService.cpp
+++ b/libs/tier/src/SearchService.cpp
@@ -301,42 +301,21 @@
                                  .remaining = aRun.deadline - base::Now(),
                                  .canary = false,
                                  .groups = TasksOf(aSnapshot) };
-  ScatterOutcome outcome;
+  Canary canary;
   bool wantsCanary = this->context.scatter.experiment.canary && request.groups.size() > 1 &&
                      !this->context.quarantine.IsKnownHarmless(aRun.fingerprint);
-  if (wantsCanary && !this->RunCanary(aRun, request, outcome)) {
-    return outcome;
+  if (wantsCanary) {
+    // The group follows from the request, so that equal requests meet at one owner.
+    canary.group = request.groups[aRun.fingerprint % request.groups.size()].group;
+    canary.strict = this->context.quarantine.IsAlarmed(base::Now());
   }
-  std::erase_if(request.groups, [&](const model::GroupTask& aTask) {
-    return outcome.groups.count(aTask.group) > 0;
-  });
-  ScatterOutcome rest =
-    RunScatter(this->context.scatter, this->avoided, aRun.world, request, aRun.deadline);
-  rest.hits = model::MergeTop(std::move(rest.hits), std::move(outcome.hits), request.top);
-  rest.groups.merge(outcome.groups);
-  return rest;
-}
-
-bool
-SearchService::RunCanary(Run& aRun, const model::ScatterRequest& aRequest, ScatterOutcome& aOutcome)
-{
-  // The group follows from the request, so that equal requests meet at one owner.
-  model::ScatterRequest canary = aRequest;
-  size_t chosen = aRun.fingerprint % aRequest.groups.size();
-  canary.groups = { aRequest.groups[chosen] };
-  canary.canary = true;
-  aOutcome = RunScatter(this->context.scatter, this->avoided, aRun.world, canary, aRun.deadline);
-  auto answer = aOutcome.groups.find(canary.groups.front().group);
-  bool answered = answer != aOutcome.groups.end() && !answer->second.shards.empty();
-  if (answered) {
+  ScatterOutcome outcome =
+    RunScatter(this->context.scatter, this->avoided, aRun.world, request, canary, aRun.deadline);
+  auto first = outcome.groups.find(canary.group);
+  if (first != outcome.groups.end() && !first->second.shards.empty()) {
     this->context.quarantine.OnAnswered(aRun.fingerprint, base::Now());
-    return true;
   }
-  // Without proof that the request is harmless the rest runs only when the canary's group itself
-  // could not be asked at all.
-  bool notRun = answer != aOutcome.groups.end() && answer->second.outcome == model::Outcome::NotRun;
-  bool suspect = answer != aOutcome.groups.end() && answer->second.error == model::Errc::Suspect;
-  return notRun && !suspect && base::Now() < aRun.deadline;
+  return outcome;
 }
 
 void
--- a/libs/tier/src/Shared.cpp
+++ b/libs/tier/src/Shared.cpp
@@ -65,6 +65,20 @@
   return quarantine::ListCondemned(this->reg, aNow);
 }
 
+bool
+SharedQuarantine::IsAlarmed(base::Instant aNow) const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return quarantine::IsAlarmed(this->reg, aNow);
+}
+
+void
+SharedQuarantine::Expire(base::Instant aNow)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  quarantine::Expire(this->reg, aNow);
+}
+
 bool
 SharedQuarantine::IsKnownHarmless(quarantine::Fingerprint aFingerprint) const
 {
