Look leaving servers up anew after a freeze

Peers' messages that had waited in the socket chose a server at once; they were held and chosen again as meant, but the cell looks leaving servers up only every 50 ms and used the look from before. Ruled out: workers that chose before the freeze (the epoch that each dispatch now carries excludes them; it is kept), the hold running out (the refresh took 2 ms), the other instances (they knew within a second). Conclusion: a dispatch that is taken back makes the cell look again.

--- a/libs/tier/src/CellConclude.cpp
+++ b/libs/tier/src/CellConclude.cpp
@@ -81,6 +81,8 @@
   if (aResult.end == AttemptEnd::NotSent) {
     std::erase(ticket.tried, attempt.server);
     --ticket.attempts;
+    // The next choice must see what was just learnt, not what was looked up a moment before.
+    this->leavingCheckedAt = base::Instant{};
   }
   if (ticket.booking) {
     this->ConcludeBooking(aDispatch.ticket, aResult);
--- a/test/inprocess/HttpTest.cpp
+++ b/test/inprocess/HttpTest.cpp
@@ -211,7 +211,8 @@
   freshness.OnRefreshed(tier::Source::Servers, base::Now());
   BOOST_TEST(!freshness.IsStale());
   BOOST_TEST(!freshness.Pass());
-  // A thread that chose a server before the freeze and is scheduled only now sees that it must choose anew.
+  // A thread that chose a server before the freeze and is scheduled only now sees that it must
+  // choose anew.
   BOOST_TEST(freshness.Epoch() == 1U);
 }
 
