--- a/fakes/include/fakes/Relay.h
+++ b/fakes/include/fakes/Relay.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <base/Time.h>
+#include <cstdint>
 #include <memory>
 #include <net/Message.h>
 #include <system_error>
@@ -23,6 +24,8 @@
 
   /// Each way takes this long.
   void SetDelay(base::Duration aDelay);
+  /// Bytes carried so far, both ways.
+  uint64_t BytesCarried() const;
   /// Bytes wait until released.
   void SetHold(bool aHold);
   /// Breaks open connections and refuses new ones while set.
--- a/fakes/src/Relay.cpp
+++ b/fakes/src/Relay.cpp
@@ -81,6 +81,7 @@
   int listener = -1;
   uint16_t port = 0;
   std::atomic<int64_t> delayMicros{ 0 };
+  std::atomic<uint64_t> bytes{ 0 };
   std::atomic<bool> hold{ false };
   std::atomic<bool> cut{ false };
   std::atomic<bool> ending{ false };
@@ -95,6 +96,7 @@
   std::string buffer(kChunkBytes, '\0');
   ssize_t count = 0;
   while ((count = recv(aFrom, buffer.data(), buffer.size(), 0)) > 0) {
+    this->bytes += static_cast<uint64_t>(count);
     std::lock_guard<std::mutex> lock(aPipe->mutex);
     aPipe->chunks.push_back(Pipe::Chunk{ .due = base::Now() + base::Duration(this->delayMicros),
                                          .bytes = buffer.substr(0, static_cast<size_t>(count)) });
@@ -223,6 +225,12 @@
   return this->impl->port;
 }
 
+uint64_t
+Relay::BytesCarried() const
+{
+  return this->impl->bytes;
+}
+
 void
 Relay::SetDelay(base::Duration aDelay)
 {
--- a/libs/tier/src/GossipMessage.cpp
+++ b/libs/tier/src/GossipMessage.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr base::Duration kShortestInterval = std::chrono::milliseconds(200);
-constexpr base::Duration kLongestInterval = std::chrono::milliseconds(1000);
+constexpr base::Duration kLongestInterval = std::chrono::milliseconds(750);
 /// The fleet up to which the shortest interval holds.
 constexpr double kSmallFleet = 16.0;
 
