Tell a member what is believed of it until it refutes that

Ruled out: the suspicion time, the platform's list (it never removes). Conclusion: a message to a member carries what is believed of it, until it answers in a higher incarnation.

--- a/bench/ControlSlopes.cpp
+++ b/bench/ControlSlopes.cpp
@@ -161,11 +161,11 @@
                                .state = membership::MemberState::Alive };
   }
 
-  tier::GossipMessage Compose(Node& aNode)
+  tier::GossipMessage Compose(Node& aNode, const Node& aReceiver)
   {
     return tier::GossipMessage{ .sender = aNode.view.self,
-                                .rumours =
-                                  membership::TakeRumours(aNode.view, tier::kRumoursPerMessage),
+                                .rumours = membership::TakeRumours(
+                                  aNode.view, aReceiver.view.self.name, tier::kRumoursPerMessage),
                                 .digest = aNode.generation,
                                 .leaving = {},
                                 .condemned = {} };
@@ -194,8 +194,8 @@
       membership::OnSilent(aFrom.view, target->name, this->now);
       return;
     }
-    this->Deliver(this->Compose(aFrom), to);
-    this->Deliver(this->Compose(to), aFrom);
+    this->Deliver(this->Compose(aFrom, to), to);
+    this->Deliver(this->Compose(to, aFrom), aFrom);
     if (aFrom.generation < to.generation) {
       aFrom.generation = to.generation;
       aFrom.news = true;
--- a/libs/membership/include/membership/View.h
+++ b/libs/membership/include/membership/View.h
@@ -94,9 +94,11 @@
 std::vector<std::string>
 Expire(View& aView, const Timing& aTiming, base::Instant aNow);
 
-/// Records to pass on with the next message, least often sent first.
+/// Records to pass on with the next message to a member, least often sent first. What is believed
+/// of the receiver itself goes along whenever it is not that it is alive, however often that was
+/// sent: only it can refute that.
 std::vector<Member>
-TakeRumours(View& aView, size_t aMost);
+TakeRumours(View& aView, const std::string& aReceiver, size_t aMost);
 
 /// Takes in records heard from another. Returns the names that changed. A rumour against this
 /// instance itself is refuted by raising its incarnation.
--- a/libs/membership/src/View.cpp
+++ b/libs/membership/src/View.cpp
@@ -185,7 +185,7 @@
 }
 
 std::vector<Member>
-TakeRumours(View& aView, size_t aMost)
+TakeRumours(View& aView, const std::string& aReceiver, size_t aMost)
 {
   size_t bound = SendsOfEach(aView);
   std::vector<KnownMember*> candidates;
@@ -200,6 +200,10 @@
     });
   candidates.resize(std::min(aMost, candidates.size()));
   std::vector<Member> rumours;
+  auto receiver = aView.others.find(aReceiver);
+  if (receiver != aView.others.end() && receiver->second.member.state != MemberState::Alive) {
+    rumours.push_back(receiver->second.member);
+  }
   for (KnownMember* known : candidates) {
     ++known->timesSent;
     rumours.push_back(known->member);
--- a/libs/membership/test/ViewTest.cpp
+++ b/libs/membership/test/ViewTest.cpp
@@ -84,12 +84,25 @@
   BOOST_TEST(view.self.incarnation == 11);
 }
 
+BOOST_AUTO_TEST_CASE(tells_a_member_what_it_believes_of_it_until_that_is_refuted)
+{
+  View view = ViewOf("a", { "b" });
+  OnSilent(view, "b", kStart);
+  Expire(view, Timing{}, kStart + 10s);
+  for (int round = 0; round < 100; ++round) {
+    BOOST_TEST(TakeRumours(view, "b", 8).front().name == "b");
+  }
+  MergeRumours(view, { Make("b", 11) }, kStart);
+  TakeRumours(view, "b", 8);
+  BOOST_TEST((view.others["b"].member.state == MemberState::Alive));
+}
+
 BOOST_AUTO_TEST_CASE(passes_each_on_a_bounded_number_of_times)
 {
   View view = ViewOf("a", { "b", "c" });
   size_t sent = 0;
   for (int round = 0; round < 100; ++round) {
-    sent += TakeRumours(view, 8).size();
+    sent += TakeRumours(view, "", 8).size();
   }
   BOOST_TEST(sent > 2U);
   BOOST_TEST(sent <= 2U * 8U);
--- a/libs/tier/include/tier/Gossip.h
+++ b/libs/tier/include/tier/Gossip.h
@@ -74,7 +74,7 @@
   bool IsWatcher() const;
 
 private:
-  GossipMessage Compose();
+  GossipMessage Compose(const std::string& aReceiver);
   void TakeIn(const GossipMessage& aMessage);
   bool Probe(const membership::Member& aTarget);
   void ProbeThroughOthers(const membership::Member& aTarget);
--- a/libs/tier/include/tier/Scatter.h
+++ b/libs/tier/include/tier/Scatter.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <tier/CellTable.h>
 #include <tier/Executor.h>
+#include <tier/OwnerChoice.h>
 #include <tier/PeerClient.h>
 #include <tier/World.h>
 #include <vector>
@@ -26,31 +27,6 @@
   config::Experiment experiment;
 };
 
-/// Instances that a call just could not reach; they are passed over for a moment, before the
-/// membership has noticed. Thread-safe.
-class AvoidedPeers
-{
-public:
-  void Note(const std::string& aName, base::Instant aNow);
-  bool IsAvoided(const std::string& aName, base::Instant aNow) const;
-
-  /// Whether a peer may be pinged now; at most one ping a peer in the time that one may take.
-  bool TakePing(const std::string& aName, base::Instant aNow);
-
-private:
-  mutable std::mutex mutex;
-  std::map<std::string, base::Instant> until;
-  std::map<std::string, base::Instant> pingedAt;
-};
-
-/// The instance to ask for a group: an owner that can be reached, else a standby. Pure.
-/// aExcluded holds instances already asked for this group. Empty when nobody is left.
-std::string
-ChooseOwner(const routing::GroupRoute& aRoute,
-            const std::set<std::string>& aExcluded,
-            const std::set<std::string>& aAvoided,
-            base::Random& aRandom);
-
 /// Everything that came back for a query.
 struct ScatterOutcome
 {
--- a/libs/tier/src/CellConclude.cpp
+++ b/libs/tier/src/CellConclude.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr base::Duration kLacksLifetime = std::chrono::milliseconds(500);
-constexpr base::Duration kHealthTimeout = std::chrono::milliseconds(250);
 
 model::Errc
 ReasonOf(AttemptEnd aEnd)
@@ -348,18 +347,6 @@
   }
 }
 
-bool
-Cell::HasSnapshot(const std::string& aSnapshot)
-{
-  std::lock_guard<std::mutex> lock(this->mutex);
-  return std::any_of(
-    this->replicas.begin(), this->replicas.end(), [&](const routing::Replica& aReplica) {
-      auto state = this->servers.find(aReplica.name);
-      bool has = state != this->servers.end() && state->second.snapshots.count(aSnapshot);
-      return has && !aReplica.leaving;
-    });
-}
-
 Cell::Survival
 Cell::SurvivalOf(const std::string& aRequestId, base::Instant aNow) const
 {
@@ -384,36 +371,6 @@
   return queued ? Survival::Waiting : Survival::Absent;
 }
 
-void
-Cell::PollHealth()
-{
-  std::vector<std::pair<std::string, std::shared_ptr<net::ConnectionPool>>> targets;
-  {
-    std::lock_guard<std::mutex> lock(this->mutex);
-    for (const routing::Replica& replica : this->replicas) {
-      targets.emplace_back(replica.name, this->servers.at(replica.name).pool);
-    }
-  }
-  for (const auto& [name, pool] : targets) {
-    std::optional<HealthReport> report = AskHealth(*pool, kHealthTimeout);
-    base::Instant now = base::Now();
-    if (!report) {
-      continue;
-    }
-    if (report->draining && this->context.leaving.Note(name, kLeavingTime, now)) {
-      telemetry::Log(telemetry::Event::ServerLeaving,
-                     { { "server", name }, { "heard", "health" } });
-    }
-    std::lock_guard<std::mutex> lock(this->mutex);
-    this->servers[name].snapshots.clear();
-    this->servers[name].snapshots.insert(report->snapshots.begin(), report->snapshots.end());
-    routing::Replica* replica = this->FindReplica(name);
-    if (replica && report->load) {
-      routing::OnReport(*replica, *report->load, now);
-    }
-  }
-}
-
 CellStatus
 Cell::Status() const
 {
--- a/libs/tier/src/Gate.cpp
+++ b/libs/tier/src/Gate.cpp
@@ -1,5 +1,7 @@
 #include <tier/Gate.h>
 
+#include <algorithm>
+
 namespace sapphirewind::tier {
 
 namespace {
@@ -9,8 +11,8 @@
 /// The weight of the newest query in the typical time.
 constexpr double kTypicalWeight = 0.05;
 constexpr double kFirstTypicalMicros = 20'000.0;
-/// A query is dropped when less than this part of the typical time is left to it.
-constexpr double kLeastPart = 0.5;
+/// A query is dropped when less than this many typical times are left to it.
+constexpr double kLeastTimes = 1.2;
 
 } // namespace
 
@@ -56,7 +58,7 @@
 Gate::AdmitWaiting(base::Instant aNow)
 {
   double typical = this->typicalMicros > 0.0 ? this->typicalMicros : kFirstTypicalMicros;
-  base::Duration least(static_cast<int64_t>(typical * kLeastPart));
+  base::Duration least(static_cast<int64_t>(typical * kLeastTimes));
   for (const admission::WorkItem& late : this->queue.DropLate(aNow, least)) {
     auto waiter = this->waiters.find(late.id);
     if (waiter != this->waiters.end()) {
@@ -83,7 +85,8 @@
   std::lock_guard<std::mutex> lock(this->mutex);
   base::Instant now = base::Now();
   --this->inFlight;
-  double took = static_cast<double>(aTook.count());
+  // Without the waits: they would make a long queue look like slow work, and so justify itself.
+  double took = static_cast<double>(std::max(aTook - aMeanWait, base::Duration(0)).count());
   this->typicalMicros = this->typicalMicros == 0.0
                           ? took
                           : this->typicalMicros + kTypicalWeight * (took - this->typicalMicros);
--- a/libs/tier/src/Gossip.cpp
+++ b/libs/tier/src/Gossip.cpp
@@ -26,7 +26,7 @@
 }
 
 GossipMessage
-Gossip::Compose()
+Gossip::Compose(const std::string& aReceiver)
 {
   base::Instant now = base::Now();
   GossipMessage message;
@@ -35,7 +35,7 @@
   message.condemned = this->context.quarantine.ListCondemned(now);
   std::lock_guard<std::mutex> lock(this->mutex);
   message.sender = this->view.self;
-  message.rumours = membership::TakeRumours(this->view, kRumoursPerMessage);
+  message.rumours = membership::TakeRumours(this->view, aReceiver, kRumoursPerMessage);
   return message;
 }
 
@@ -81,13 +81,13 @@
 Gossip::Answer(const GossipMessage& aMessage)
 {
   this->TakeIn(aMessage);
-  return this->Compose();
+  return this->Compose(aMessage.sender.name);
 }
 
 bool
 Gossip::Probe(const membership::Member& aTarget)
 {
-  GossipMessage message = this->Compose();
+  GossipMessage message = this->Compose(aTarget.name);
   base::Instant asked = base::Now();
   base::Result<Json::Value> answer = this->context.peers.Call(
     aTarget.address, "gossip", ToJson(message), CallOptions{ .timeout = kProbeTimeout });
--- a/libs/tier/src/Instance.cpp
+++ b/libs/tier/src/Instance.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <atomic>
 #include <document/Document.h>
-#include <future>
 #include <net/Server.h>
 #include <rpc/Codec.h>
 #include <telemetry/Events.h>
@@ -12,6 +11,8 @@
 #include <tier/BookingService.h>
 #include <tier/CallerApi.h>
 #include <tier/Gossip.h>
+#include <tier/InFlightGuard.h>
+#include <tier/PeerApi.h>
 #include <tier/PlatformFollower.h>
 #include <tier/SearchService.h>
 #include <tier/StatusPage.h>
@@ -56,15 +57,6 @@
   void RouteCallers();
   void RouteOperators();
   void RoutePeers();
-  Json::Value RpcScatter(const Json::Value& aParameters);
-  Json::Value RpcBook(const Json::Value& aParameters);
-  Json::Value RpcClaim(const Json::Value& aParameters);
-  Json::Value RpcGossip(const Json::Value& aParameters);
-  Json::Value RpcProbe(const Json::Value& aParameters);
-  Json::Value RpcLacking(const Json::Value& aParameters);
-  Json::Value RpcSurvival(const Json::Value& aParameters);
-  Json::Value RpcVersions() const;
-  Json::Value RpcObjects(const Json::Value& aParameters) const;
 
   void Rebuild();
   void FollowLoop();
@@ -96,6 +88,9 @@
   PlatformFollower follower;
   SearchService search;
   BookingService booking;
+  std::atomic<bool> closed{ false };
+  std::atomic<int> inFlight{ 0 };
+  PeerApi peerApi;
   rpc::Dispatcher dispatcher;
   net::Server server;
 
@@ -107,31 +102,12 @@
   std::atomic<bool> news{ false };
   std::atomic<bool> everReady{ false };
   std::atomic<bool> stopping{ false };
-  std::atomic<bool> closed{ false };
   std::atomic<bool> ending{ false };
-  std::atomic<int> inFlight{ 0 };
   std::vector<std::thread> threads;
 };
 
 namespace {
 
-/// Counts work in flight for the graceful stop.
-class InFlightGuard
-{
-public:
-  explicit InFlightGuard(std::atomic<int>& aCount)
-    : count(aCount)
-  {
-    ++this->count;
-  }
-  ~InFlightGuard() { --this->count; }
-  InFlightGuard(const InFlightGuard&) = delete;
-  InFlightGuard& operator=(const InFlightGuard&) = delete;
-
-private:
-  std::atomic<int>& count;
-};
-
 membership::Member
 SelfOf(const config::Settings& aSettings)
 {
@@ -191,6 +167,13 @@
                             .executor = this->executor,
                             .freshness = this->freshness,
                             .metrics = this->metrics })
+  , peerApi(PeerApiContext{ .cells = this->cells,
+                            .claims = this->claims,
+                            .gossip = this->gossip,
+                            .objects = this->objects,
+                            .peers = this->peers,
+                            .closed = this->closed,
+                            .inFlight = this->inFlight })
   , server(
       net::ServerOptions{ .listen = EndpointOf(this->settings.listen),
                           .maxBodyBytes = std::max<size_t>(this->settings.maxBodyBytes, 4 << 20),
@@ -395,177 +378,10 @@
   });
 }
 
-Json::Value
-Instance::Impl::RpcScatter(const Json::Value& aParameters)
-{
-  std::optional<model::ScatterRequest> request = model::ScatterRequestFromJson(aParameters);
-  if (!request) {
-    telemetry::Log(telemetry::Event::PeerMessageRefused, { { "method", "scatter" } });
-    throw rpc::Refusal("malformed, or of another version");
-  }
-  if (this->closed) {
-    throw rpc::Refusal("stopping");
-  }
-  InFlightGuard guard(this->inFlight);
-  base::Instant deadline = base::Now() + request->remaining;
-  auto promise = std::make_shared<std::promise<model::ScatterAnswer>>();
-  std::future<model::ScatterAnswer> future = promise->get_future();
-  this->cells.Scatter(*request, deadline, [promise](model::ScatterAnswer aAnswer) {
-    promise->set_value(std::move(aAnswer));
-  });
-  return model::ToJson(future.get());
-}
-
-Json::Value
-Instance::Impl::RpcBook(const Json::Value& aParameters)
-{
-  std::optional<model::BookingTask> task = model::BookingTaskFromJson(aParameters);
-  if (!task) {
-    telemetry::Log(telemetry::Event::PeerMessageRefused, { { "method", "book" } });
-    throw rpc::Refusal("malformed, or of another version");
-  }
-  if (this->closed) {
-    throw rpc::Refusal("stopping");
-  }
-  InFlightGuard guard(this->inFlight);
-  auto promise = std::make_shared<std::promise<model::BookingResult>>();
-  std::future<model::BookingResult> future = promise->get_future();
-  this->cells.Book(*task, base::Now() + task->remaining, [promise](model::BookingResult aResult) {
-    promise->set_value(std::move(aResult));
-  });
-  return model::ToJson(future.get());
-}
-
-Json::Value
-Instance::Impl::RpcClaim(const Json::Value& aParameters)
-{
-  std::optional<claims::Operation> operation = claims::OperationFromJson(aParameters);
-  bool sameVersion =
-    aParameters["version"].isInt() && aParameters["version"].asInt() == model::kPeerProtocolVersion;
-  if (!operation || !sameVersion || !aParameters["remaining_us"].isInt64()) {
-    telemetry::Log(telemetry::Event::PeerMessageRefused, { { "method", "claim" } });
-    throw rpc::Refusal("malformed, or of another version");
-  }
-  InFlightGuard guard(this->inFlight);
-  base::Instant deadline = base::Now() + base::Duration(aParameters["remaining_us"].asInt64());
-  std::optional<claims::OperationResult> result = this->claims.Submit(*operation, deadline);
-  if (!result) {
-    throw rpc::Refusal("the store does not answer");
-  }
-  return claims::ToJson(*result);
-}
-
-Json::Value
-Instance::Impl::RpcGossip(const Json::Value& aParameters)
-{
-  std::optional<GossipMessage> message = GossipMessageFromJson(aParameters);
-  if (!message) {
-    telemetry::Log(telemetry::Event::PeerMessageRefused, { { "method", "gossip" } });
-    throw rpc::Refusal("malformed, or of another version");
-  }
-  return ToJson(this->gossip.Answer(*message));
-}
-
-Json::Value
-Instance::Impl::RpcProbe(const Json::Value& aParameters)
-{
-  if (!aParameters["address"].isString()) {
-    throw rpc::Refusal("malformed");
-  }
-  constexpr base::Duration kOnBehalfTimeout = std::chrono::milliseconds(400);
-  base::Result<Json::Value> answer = this->peers.Call(aParameters["address"].asString(),
-                                                      "ping",
-                                                      Json::Value(Json::objectValue),
-                                                      CallOptions{ .timeout = kOnBehalfTimeout });
-  Json::Value value;
-  value["answered"] = static_cast<bool>(answer);
-  return value;
-}
-
-Json::Value
-Instance::Impl::RpcLacking(const Json::Value& aParameters)
-{
-  bool wellFormed = aParameters["service"].isString() && aParameters["snapshot"].isString() &&
-                    aParameters["groups"].isArray();
-  if (!wellFormed) {
-    throw rpc::Refusal("malformed");
-  }
-  std::vector<std::string> groups;
-  for (const Json::Value& group : aParameters["groups"]) {
-    groups.push_back(group.isString() ? group.asString() : "");
-  }
-  std::vector<std::string> lacking = this->cells.LackingGroups(
-    aParameters["service"].asString(), aParameters["snapshot"].asString(), groups);
-  Json::Value value;
-  value["groups"] = Json::Value(Json::arrayValue);
-  for (const std::string& group : lacking) {
-    value["groups"].append(group);
-  }
-  return value;
-}
-
-Json::Value
-Instance::Impl::RpcSurvival(const Json::Value& aParameters)
-{
-  bool wellFormed = aParameters["service"].isString() && aParameters["group"].isString() &&
-                    aParameters["request"].isString() && aParameters["remaining_us"].isInt64();
-  if (!wellFormed) {
-    throw rpc::Refusal("malformed");
-  }
-  base::Instant deadline = base::Now() + base::Duration(aParameters["remaining_us"].asInt64());
-  Json::Value value;
-  value["survived"] = this->cells.WaitSurvival(aParameters["service"].asString(),
-                                               aParameters["group"].asString(),
-                                               aParameters["request"].asString(),
-                                               deadline);
-  return value;
-}
-
-Json::Value
-Instance::Impl::RpcVersions() const
-{
-  Json::Value value;
-  value["versions"] = Json::Value(Json::objectValue);
-  for (const platform::Change& entry : this->objects.Versions()) {
-    value["versions"][entry.name] = static_cast<Json::UInt64>(entry.version);
-  }
-  return value;
-}
-
-Json::Value
-Instance::Impl::RpcObjects(const Json::Value& aParameters) const
-{
-  Json::Value value;
-  value["objects"] = Json::Value(Json::objectValue);
-  if (!aParameters["names"].isArray()) {
-    throw rpc::Refusal("malformed");
-  }
-  for (const Json::Value& name : aParameters["names"]) {
-    std::optional<platform::Versioned> object =
-      name.isString() ? this->objects.Get(name.asString()) : std::nullopt;
-    if (object) {
-      Json::Value& entry = value["objects"][name.asString()];
-      entry["version"] = static_cast<Json::UInt64>(object->version);
-      entry["value"] = object->value;
-    }
-  }
-  return value;
-}
-
 void
 Instance::Impl::RoutePeers()
 {
-  using Parameters = const Json::Value&;
-  this->dispatcher.Register("scatter", [this](Parameters aIn) { return this->RpcScatter(aIn); });
-  this->dispatcher.Register("book", [this](Parameters aIn) { return this->RpcBook(aIn); });
-  this->dispatcher.Register("claim", [this](Parameters aIn) { return this->RpcClaim(aIn); });
-  this->dispatcher.Register("gossip", [this](Parameters aIn) { return this->RpcGossip(aIn); });
-  this->dispatcher.Register("probe", [this](Parameters aIn) { return this->RpcProbe(aIn); });
-  this->dispatcher.Register("lacking", [this](Parameters aIn) { return this->RpcLacking(aIn); });
-  this->dispatcher.Register("survival", [this](Parameters aIn) { return this->RpcSurvival(aIn); });
-  this->dispatcher.Register("ping", [](Parameters) { return Json::Value(Json::objectValue); });
-  this->dispatcher.Register("versions", [this](Parameters) { return this->RpcVersions(); });
-  this->dispatcher.Register("objects", [this](Parameters aIn) { return this->RpcObjects(aIn); });
+  this->peerApi.Register(this->dispatcher);
   this->server.Route("POST", "/rpc", [this](const net::Request& aRequest) {
     return net::Response{ .status = 200, .body = this->dispatcher.Handle(aRequest.body) };
   });
--- a/libs/tier/src/Scatter.cpp
+++ b/libs/tier/src/Scatter.cpp
@@ -9,11 +9,9 @@
 
 namespace {
 
-constexpr base::Duration kAvoidTime = std::chrono::milliseconds(1000);
 /// An owner of which nothing was heard for this long while it has a query is pinged: a long answer
 /// and a frozen process look alike until then.
 constexpr base::Duration kPingAfter = std::chrono::milliseconds(50);
-constexpr base::Duration kPingTimeout = std::chrono::milliseconds(100);
 /// One that does not answer the ping either is silent.
 constexpr base::Duration kSilence = std::chrono::milliseconds(150);
 constexpr base::Duration kSilenceCheck = std::chrono::milliseconds(20);
@@ -372,62 +370,6 @@
 
 } // namespace
 
-void
-AvoidedPeers::Note(const std::string& aName, base::Instant aNow)
-{
-  std::lock_guard<std::mutex> lock(this->mutex);
-  this->until[aName] = aNow + kAvoidTime;
-}
-
-bool
-AvoidedPeers::IsAvoided(const std::string& aName, base::Instant aNow) const
-{
-  std::lock_guard<std::mutex> lock(this->mutex);
-  auto found = this->until.find(aName);
-  return found != this->until.end() && aNow < found->second;
-}
-
-bool
-AvoidedPeers::TakePing(const std::string& aName, base::Instant aNow)
-{
-  std::lock_guard<std::mutex> lock(this->mutex);
-  base::Instant& last = this->pingedAt[aName];
-  if (aNow - last < kPingTimeout / 2) {
-    return false;
-  }
-  last = aNow;
-  return true;
-}
-
-std::string
-ChooseOwner(const routing::GroupRoute& aRoute,
-            const std::set<std::string>& aExcluded,
-            const std::set<std::string>& aAvoided,
-            base::Random& aRandom)
-{
-  std::vector<std::string> reachable;
-  for (const std::string& name : aRoute.owners) {
-    if (!aExcluded.count(name) && !aAvoided.count(name)) {
-      reachable.push_back(name);
-    }
-  }
-  if (!reachable.empty()) {
-    return reachable[base::UniformIndex(aRandom, reachable.size())];
-  }
-  for (const std::string& name : aRoute.standbys) {
-    if (!aExcluded.count(name)) {
-      return name;
-    }
-  }
-  // Only avoided owners are left; one of them may have come back.
-  for (const std::string& name : aRoute.owners) {
-    if (!aExcluded.count(name)) {
-      return name;
-    }
-  }
-  return {};
-}
-
 ScatterOutcome
 RunScatter(ScatterContext& aContext,
            AvoidedPeers& aAvoided,
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -74,8 +74,8 @@
 fleet_stop() {
   local pid
   for pid in "${FLEET_PIDS[@]}"; do
-    kill -9 "$pid" 2>/dev/null
+    kill -9 "$pid" 2>/dev/null || true
   done
-  wait "${FLEET_PIDS[@]}" 2>/dev/null
+  wait "${FLEET_PIDS[@]}" 2>/dev/null || true
   FLEET_PIDS=()
 }
