Do not look 5,000 times a second for a hedge that cannot be sent

Cause: a hedge that was due and lacked a slot or budget made its cell look again every 0.2 ms. Ruled out: the survival checks (1 ms, a few looks a query).

--- a/libs/tier/src/Cell.cpp
+++ b/libs/tier/src/Cell.cpp
@@ -160,10 +160,12 @@
   base::Duration delay = this->latency.Value();
   bool hedging = this->context.experiment.hedging && delay.count() > 0;
   for (const TicketPointer& ticket : this->running) {
-    if (hedging && !ticket->hedged && !ticket->live.empty()) {
-      wake =
-        std::min(wake, std::max(aNow + base::Duration(200), ticket->live.front()->sentAt + delay));
+    if (!hedging || ticket->hedged || ticket->live.empty()) {
+      continue;
     }
+    // A hedge that is due and was not sent lacks a slot or budget: there is no hurry to look again.
+    base::Instant due = ticket->live.front()->sentAt + delay;
+    wake = std::min(wake, due > aNow ? due : aNow + kBlockedSleep);
   }
   return wake;
 }
