--- a/bench/Summarise.cpp
+++ b/bench/Summarise.cpp
@@ -28,7 +28,7 @@
     std::vector<double> sorted = this->values;
     std::sort(sorted.begin(), sorted.end());
     char text[96];
-    double median = sorted[(sorted.size() - 1) / 2];
+    double median = (sorted[(sorted.size() - 1) / 2] + sorted[sorted.size() / 2]) / 2.0;
     std::snprintf(text,
                   sizeof(text),
                   "%.*f (%.*f-%.*f)",
--- a/libs/tier/src/Cell.cpp
+++ b/libs/tier/src/Cell.cpp
@@ -201,10 +201,12 @@
   if (std::optional<Dispatch> dispatch = this->NextAlone(aNow)) {
     return dispatch;
   }
-  if (std::optional<Dispatch> dispatch = this->NextQueued(aNow)) {
+  // A hedge goes before waiting work that ranks lower; NextHedge looks at what waits of its own
+  // rank.
+  if (std::optional<Dispatch> dispatch = this->NextHedge(aNow)) {
     return dispatch;
   }
-  return this->NextHedge(aNow);
+  return this->NextQueued(aNow);
 }
 
 std::optional<size_t>
@@ -314,7 +316,7 @@
     routing::HedgeInput input{ .sentAt = ticket->live.front()->sentAt,
                                .deadline = ticket->deadline,
                                .delay = delay,
-                               .queueWaits = !this->waiting.empty(),
+                               .queueWaits = this->queue.SizeAtOrAbove(ticket->handling.rank) > 0,
                                .budgetLeft = this->hedgeBudget.tokens >= 1.0 };
     if (!routing::HedgeIsDue(input, aNow)) {
       continue;
--- a/libs/tier/src/SearchService.cpp
+++ b/libs/tier/src/SearchService.cpp
@@ -255,6 +255,8 @@
 SearchService::Admitted(Run& aRun)
 {
   std::optional<model::SearchAnswer> best;
+  // What became of all tries together: a refusal of one says nothing of the others.
+  std::optional<model::Outcome> tried;
   for (size_t attempt = 0; attempt < kMaxSnapshotTries; ++attempt) {
     base::Instant now = base::Now();
     WorldPointer latest = this->context.world.Get();
@@ -262,7 +264,10 @@
     const model::ServiceIndex& index = service ? service->index : aRun.service->index;
     std::optional<model::Snapshot> snapshot = this->context.snapshots.Pick(index, now);
     if (!snapshot || snapshot->shards.empty()) {
-      return Refuse(aRun.request, model::Errc::NoSnapshot, 1);
+      if (!best) {
+        return Refuse(aRun.request, model::Errc::NoSnapshot, 1);
+      }
+      break;
     }
     if (service) {
       aRun.world = latest;
@@ -272,6 +277,7 @@
     aRun.meanWait = MeanWait(outcome, TasksOf(*snapshot).size(), base::Now() - now);
     model::SearchAnswer answer =
       Assemble(aRun.request, *snapshot, outcome, aRun.requestClass->leastCoverage);
+    tried = tried ? model::Combine(*tried, answer.outcome) : answer.outcome;
     if (!best || answer.coverage.Share() > best->coverage.Share()) {
       best = answer;
     }
@@ -288,6 +294,9 @@
     telemetry::Log(telemetry::Event::SnapshotRestart,
                    { { "request", aRun.request.requestId }, { "snapshot", snapshot->id } });
   }
+  if (best->outcome == model::Outcome::NotRun) {
+    best->outcome = *tried;
+  }
   return *best;
 }
 
--- a/libs/tier/src/Upstream.cpp
+++ b/libs/tier/src/Upstream.cpp
@@ -193,7 +193,8 @@
   net::Request request{ .method = "GET", .path = "/health" };
   base::Instant started = base::Now();
   base::Result<net::Response> response = connection.Send(request, kGoneProbeTimeout);
-  // Only a refusal shows that nobody listens; a server that is merely busy lets the connection wait.
+  // Only a refusal shows that nobody listens; a server that is merely busy lets the connection
+  // wait.
   bool refused = base::Now() - started < kGoneProbeTimeout / 2;
   return refused && !response && net::ProvesNothingSent(response.Error().code);
 }
--- a/test/scenario/Stage.cpp
+++ b/test/scenario/Stage.cpp
@@ -80,9 +80,13 @@
 }
 
 void
-Stage::StartUpstreams(const std::string& aSpec, double aMeanMs)
+Stage::StartUpstreams(const std::string& aSpec,
+                      double aMeanMs,
+                      const std::vector<std::string>& aRegions)
 {
-  fakes::FleetOptions fleetOptions{ .services = { ParsePlan(aSpec) },
+  fakes::ServicePlan plan = ParsePlan(aSpec);
+  plan.regions = aRegions;
+  fakes::FleetOptions fleetOptions{ .services = { plan },
                                     .time = { .meanMs = aMeanMs, .sigma = 0.6, .seed = this->seed },
                                     .connectionCost = std::chrono::milliseconds(2),
                                     .firstPort =
@@ -119,8 +123,8 @@
     model::InstanceRecord record{ .name = "i" + std::to_string(number),
                                   .address = std::string(kLoopback) + ":" +
                                              std::to_string(this->instances[number - 1].port),
-                                  .region = "r1",
-                                  .zone = "r1a",
+                                  .region = this->instances[number - 1].region,
+                                  .zone = this->instances[number - 1].region + "a",
                                   .leaving = false };
     list["instances"].append(model::ToJson(record));
   }
@@ -128,19 +132,20 @@
 }
 
 void
-Stage::StartInstances(size_t aCount)
+Stage::StartInstances(size_t aCount, const std::vector<std::string>& aRegions)
 {
   for (size_t number = 1; number <= aCount; ++number) {
     InstanceProcess instance;
     instance.port = static_cast<uint16_t>(this->options.firstPort + number);
+    instance.region = aRegions[(number - 1) % aRegions.size()];
     instance.settingsFile = this->options.folder + "/i" + std::to_string(number) + ".json";
     this->instances.push_back(instance);
   }
   for (size_t number = 1; number <= aCount; ++number) {
     Json::Value settings;
     settings["name"] = "i" + std::to_string(number);
-    settings["region"] = "r1";
-    settings["availability_zone"] = "r1a";
+    settings["region"] = this->instances[number - 1].region;
+    settings["availability_zone"] = this->instances[number - 1].region + "a";
     settings["listen"] =
       std::string(kLoopback) + ":" + std::to_string(this->instances[number - 1].port);
     settings["platform"] = std::string(kLoopback) + ":" + std::to_string(this->options.firstPort);
@@ -198,7 +203,7 @@
     while (this->instances[number - 1].ended == false) {
       std::optional<Json::Value> status = this->Status(number);
       bool ready = status && (*status)["ready"].asBool() &&
-                   (*status)["serving"].size() == this->instances.size();
+                   (*status)["members"].size() == this->instances.size();
       if (ready) {
         break;
       }
--- a/test/scenario/Stage.h
+++ b/test/scenario/Stage.h
@@ -22,6 +22,7 @@
 {
   pid_t pid = 0;
   std::string settingsFile;
+  std::string region;
   uint16_t port = 0;
   /// Ended on our request, and how.
   bool ended = false;
@@ -49,8 +50,12 @@
   Stage(const Stage&) = delete;
   Stage& operator=(const Stage&) = delete;
 
-  void StartUpstreams(const std::string& aSpec, double aMeanMs);
-  void StartInstances(size_t aCount);
+  /// Servers of a group stand in the regions in turn.
+  void StartUpstreams(const std::string& aSpec,
+                      double aMeanMs,
+                      const std::vector<std::string>& aRegions = { "r1" });
+  /// Instances stand in the regions in turn.
+  void StartInstances(size_t aCount, const std::vector<std::string>& aRegions = { "r1" });
   void StartInstance(size_t aNumber);
   void WaitReady();
   void Signal(size_t aNumber, int aSignal);
--- a/test/scenario/Vocabulary.cpp
+++ b/test/scenario/Vocabulary.cpp
@@ -17,6 +17,13 @@
   return std::stoul(aText);
 }
 
+std::vector<std::string>
+SplitCommas(const std::string& aText)
+{
+  static const std::regex kComma(",");
+  return { std::sregex_token_iterator(aText.begin(), aText.end(), kComma, -1), {} };
+}
+
 void
 AddScene(Vocabulary& aVocabulary, Stage& aStage)
 {
@@ -24,6 +31,14 @@
   aVocabulary.On("upstreams (\\S+) taking (\\S+)", [&](const Words& aWords) {
     aStage.StartUpstreams(aWords[0], base::ToFractionalMillis(Span(aWords[1])));
   });
+  aVocabulary.On("upstreams (\\S+) in regions (\\S+) taking (\\S+)", [&](const Words& aWords) {
+    aStage.StartUpstreams(
+      aWords[0], base::ToFractionalMillis(Span(aWords[2])), SplitCommas(aWords[1]));
+  });
+  aVocabulary.On("instances (\\d+) in regions (\\S+)", [&](const Words& aWords) {
+    aStage.StartInstances(Number(aWords[0]), SplitCommas(aWords[1]));
+    aStage.WaitReady();
+  });
   aVocabulary.On("configuration (\\S+)",
                  [&](const Words& aWords) { aStage.Apply(aWords[0], "setup"); });
   aVocabulary.On("instances (\\d+)", [&](const Words& aWords) {
