--- a/libs/quarantine/include/quarantine/Quarantine.h
+++ b/libs/quarantine/include/quarantine/Quarantine.h
@@ -34,7 +34,7 @@
   std::string firstLost;
   base::Instant suspectUntil{};
   base::Instant condemnedUntil{};
-  /// When a server was last lost under it, or a peer said so.
+  /// When a server was last lost under it, until that is explained.
   base::Instant lostAt{};
 };
 
@@ -87,7 +87,8 @@
 /// How long after a loss that is not cleared up unknown requests are tried strictly one at a time.
 constexpr base::Duration kAlarmTime = std::chrono::minutes(1);
 
-/// Whether some request that brought a server down, or may have, is about.
+/// Whether a server was lost lately and it is not known under which request: none was condemned for
+/// it, and those that were there are not cleared.
 bool
 IsAlarmed(const Register& aRegister, base::Instant aNow);
 
--- a/libs/quarantine/src/Quarantine.cpp
+++ b/libs/quarantine/src/Quarantine.cpp
@@ -62,7 +62,8 @@
     record.condemnedUntil = aNow + kCondemnedTime;
   }
   record.suspectUntil = aNow + kSuspectTime;
-  record.lostAt = aNow;
+  // A condemned request explains the loss: nothing unknown is about any more.
+  record.lostAt = second ? base::Instant{} : aNow;
   return StandingOf(aRegister, aFingerprint, aNow);
 }
 
@@ -81,10 +82,6 @@
   MakeRoom(aRegister);
   Record& record = aRegister.records[aFingerprint];
   base::Duration remaining = std::min(aRemaining, base::Duration(kCondemnedTime));
-  // Heard again and again while it lasts; only the first time is news.
-  if (aNow >= record.condemnedUntil) {
-    record.lostAt = aNow;
-  }
   record.condemnedUntil = std::max(record.condemnedUntil, aNow + remaining);
 }
 
