--- a/libs/quarantine/include/quarantine/Quarantine.h
+++ b/libs/quarantine/include/quarantine/Quarantine.h
@@ -34,7 +34,7 @@
   std::string firstLost;
   base::Instant suspectUntil{};
   base::Instant condemnedUntil{};
-  /// When a server was last lost under it, until that is explained.
+  /// When a server was last lost under it, or a peer said so.
   base::Instant lostAt{};
 };
 
@@ -87,8 +87,7 @@
 /// How long after a loss that is not cleared up unknown requests are tried strictly one at a time.
 constexpr base::Duration kAlarmTime = std::chrono::minutes(1);
 
-/// Whether a server was lost lately and it is not known under which request: none was condemned for
-/// it, and those that were there are not cleared.
+/// Whether some request that brought a server down, or may have, is about.
 bool
 IsAlarmed(const Register& aRegister, base::Instant aNow);
 
--- a/libs/quarantine/src/Quarantine.cpp
+++ b/libs/quarantine/src/Quarantine.cpp
@@ -62,8 +62,7 @@
     record.condemnedUntil = aNow + kCondemnedTime;
   }
   record.suspectUntil = aNow + kSuspectTime;
-  // A condemned request explains the loss: nothing unknown is about any more.
-  record.lostAt = second ? base::Instant{} : aNow;
+  record.lostAt = aNow;
   return StandingOf(aRegister, aFingerprint, aNow);
 }
 
@@ -82,6 +81,10 @@
   MakeRoom(aRegister);
   Record& record = aRegister.records[aFingerprint];
   base::Duration remaining = std::min(aRemaining, base::Duration(kCondemnedTime));
+  // Heard again and again while it lasts; only the first time is news.
+  if (aNow >= record.condemnedUntil) {
+    record.lostAt = aNow;
+  }
   record.condemnedUntil = std::max(record.condemnedUntil, aNow + remaining);
 }
 
