--- /dev/null
+++ b/libs/directory/src/ServerTable.cpp
@@ -0,0 +1,115 @@
+#include <directory/ServerTable.h>
+
+#include <set>
+
+namespace sapphirewind::directory {
+
+namespace {
+
+bool
+IsNearOutage(const ServerTable& aTable, base::Instant aNow)
+{
+  return aTable.storeAway || aNow < aTable.storeReturnedAt + kReturnGrace;
+}
+
+/// Lapses an entry near an outage, erases it otherwise; returns whether it was erased.
+bool
+LapseOrErase(ServerTable& aTable,
+             std::map<std::string, ServerTable::Entry>::iterator aEntry,
+             base::Instant aNow)
+{
+  bool mayReturn = IsNearOutage(aTable, aNow) && !aEntry->second.server.draining;
+  if (mayReturn) {
+    base::Instant from = aTable.storeAway ? aNow : aTable.storeReturnedAt;
+    aEntry->second.lapsesAt = from + kReturnGrace;
+    return false;
+  }
+  aTable.entries.erase(aEntry);
+  return true;
+}
+
+} // namespace
+
+bool
+Upsert(ServerTable& aTable, const Server& aServer, uint64_t aRevision)
+{
+  auto [entry, isNew] = aTable.entries.try_emplace(aServer.id);
+  if (!isNew && entry->second.revision > aRevision) {
+    return false;
+  }
+  bool changed = isNew || entry->second.server != aServer;
+  entry->second = ServerTable::Entry{ .server = aServer, .revision = aRevision };
+  return changed;
+}
+
+bool
+Remove(ServerTable& aTable, const std::string& aId, uint64_t aRevision, base::Instant aNow)
+{
+  auto entry = aTable.entries.find(aId);
+  if (entry == aTable.entries.end() || entry->second.revision > aRevision) {
+    return false;
+  }
+  return LapseOrErase(aTable, entry, aNow);
+}
+
+bool
+ReplaceAll(ServerTable& aTable,
+           const std::vector<ListedServer>& aServers,
+           uint64_t aRevision,
+           base::Instant aNow)
+{
+  bool changed = false;
+  std::set<std::string> listed;
+  for (const ListedServer& server : aServers) {
+    listed.insert(server.server.id);
+    changed = Upsert(aTable, server.server, server.revision) || changed;
+  }
+  for (auto entry = aTable.entries.begin(); entry != aTable.entries.end();) {
+    auto current = entry++;
+    bool missing = listed.count(current->first) == 0 && current->second.revision <= aRevision;
+    if (missing && !current->second.lapsesAt) {
+      changed = LapseOrErase(aTable, current, aNow) || changed;
+    }
+  }
+  return changed;
+}
+
+void
+OnStoreLost(ServerTable& aTable)
+{
+  aTable.storeAway = true;
+}
+
+void
+OnStoreReturned(ServerTable& aTable, base::Instant aNow)
+{
+  if (!aTable.storeAway) {
+    return;
+  }
+  aTable.storeAway = false;
+  aTable.storeReturnedAt = aNow;
+  for (auto& [id, entry] : aTable.entries) {
+    if (entry.lapsesAt) {
+      entry.lapsesAt = aNow + kReturnGrace;
+    }
+  }
+}
+
+bool
+ExpireLapsed(ServerTable& aTable, base::Instant aNow)
+{
+  if (aTable.storeAway) {
+    return false;
+  }
+  bool expired = false;
+  for (auto entry = aTable.entries.begin(); entry != aTable.entries.end();) {
+    auto current = entry++;
+    if (current->second.lapsesAt && *current->second.lapsesAt <= aNow) {
+      aTable.entries.erase(current);
+      expired = true;
+    }
+  }
+  return expired;
+}
+
+} // namespace sapphirewind::directory
--- /dev/null
+++ b/libs/dispatch/src/Gather.cpp
@@ -0,0 +1,74 @@
+#include <dispatch/Gather.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace sapphirewind::dispatch {
+
+namespace {
+
+/// A first attempt is overdue after this many times its expected latency.
+constexpr int kOverdueFactor = 2;
+/// Scheduling and network jitter that is no sign of a stall.
+constexpr base::Duration kLeastHedgeDelay = std::chrono::milliseconds(20);
+
+} // namespace
+
+std::string
+MergeTopRecords(const std::vector<std::string_view>& aParts, size_t aCount)
+{
+  std::vector<std::string_view> records;
+  for (std::string_view part : aParts) {
+    for (size_t at = 0; at + kRecordBytes <= part.size(); at += kRecordBytes) {
+      records.push_back(part.substr(at, kRecordBytes));
+    }
+  }
+  size_t kept = std::min(aCount, records.size());
+  auto middle = records.begin() + static_cast<std::ptrdiff_t>(kept);
+  // string_view compares as unsigned bytes.
+  std::partial_sort(records.begin(), middle, records.end(), std::greater<>());
+  std::string merged;
+  merged.reserve(kept * kRecordBytes);
+  for (size_t index = 0; index < kept; ++index) {
+    merged += records[index];
+  }
+  return merged;
+}
+
+size_t
+LeastParts(size_t aShards, double aLeastCoverage)
+{
+  // Shares such as 0.9 of 10 must not round up for want of binary digits.
+  constexpr double kRounding = 1e-9;
+  double least = std::ceil(static_cast<double>(aShards) * aLeastCoverage - kRounding);
+  return std::clamp<size_t>(static_cast<size_t>(std::max(1.0, least)), 1, std::max<size_t>(1, aShards));
+}
+
+GatherStep
+NextGatherStep(const GatherState& aState, base::Instant aAnswerBy, base::Instant aNow)
+{
+  bool enough = aState.parts >= aState.leastParts;
+  if (aState.parts == aState.shards) {
+    return GatherStep::Answer;
+  }
+  if (enough && (aState.pending == 0 || aNow >= aAnswerBy)) {
+    return GatherStep::Answer;
+  }
+  if (!enough && aState.parts + aState.pending < aState.leastParts) {
+    return GatherStep::GiveUp;
+  }
+  return GatherStep::Wait;
+}
+
+base::Duration
+HedgeDelay(const HedgeTiming& aTiming)
+{
+  base::Duration overdue = std::max(aTiming.expectedFirst * kOverdueFactor,
+                                    aTiming.expectedFirst + kLeastHedgeDelay);
+  base::Duration latest = aTiming.untilAnswer - aTiming.expectedSecond * 3 / 2;
+  bool helpsInTime = latest > aTiming.expectedFirst;
+  return helpsInTime ? std::min(overdue, latest) : overdue;
+}
+
+} // namespace sapphirewind::dispatch
--- /dev/null
+++ b/libs/engine/include/engine/Asio.h
@@ -0,0 +1,45 @@
+/// @file The event loop and HTTP message types of Boost.Asio and Boost.Beast under short names.
+#pragma once
+
+// Boost.Asio 1.81 uses std::exchange without including it under C++20.
+#include <utility>
+
+#include <base/Time.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sapphirewind::engine {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+using Loop = asio::io_context;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using Timer = asio::steady_timer;
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+
+/// An address such as "10.1.0.39:8226"; empty when it is none.
+std::optional<Tcp::endpoint>
+ParseEndpoint(const std::string& aText);
+
+/// Opens an acceptor at an address.
+ErrorCode
+Listen(Tcp::acceptor& aAcceptor, const Tcp::endpoint& aEndpoint);
+
+/// Whether a header concerns one connection only and is not passed on.
+bool
+IsHopByHop(http::field aField);
+
+/// Removes the headers that concern one connection only, those that Connection names included.
+void
+RemoveHopByHop(http::fields& aFields);
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/include/engine/Fleet.h
@@ -0,0 +1,68 @@
+/// @file All upstream servers by service, with what was learnt of routes and the budgets of
+/// services.
+#pragma once
+
+#include <directory/RouteTable.h>
+#include <dispatch/Split.h>
+#include <engine/UpstreamServer.h>
+#include <map>
+#include <routing/Hedge.h>
+#include <string>
+#include <unordered_map>
+
+namespace sapphirewind::engine {
+
+class Fleet
+{
+public:
+  struct Options
+  {
+    Loop& loop;
+    const WireCodec& codec;
+    std::string zone;
+    /// Regions by zone.
+    std::map<std::string, std::string> regions;
+    /// The share of requests that may be sent to a second server, as the platform states it for
+    /// all instances together.
+    double extraShare = 0.2;
+    /// Second sends that are allowed in a window beyond that share, for all instances together.
+    double extraMinimum = 0.0;
+  };
+
+  using Servers = std::vector<std::shared_ptr<UpstreamServer>>;
+
+  explicit Fleet(Options aOptions);
+
+  /// Takes in which servers exist. Servers that left keep what is under way and get nothing new.
+  void Update(const directory::ServerTable& aTable, const directory::RouteTable* aRoutes);
+
+  /// Tells how many instances share connections and budgets.
+  void SetInstances(size_t aInstances);
+
+  const Servers& ServersOf(const std::string& aService) const;
+
+  std::shared_ptr<dispatch::WorkEstimate> WorkOf(const std::string& aRoute);
+
+  /// What second sends to a service have left.
+  routing::AttemptBudget& BudgetOf(const std::string& aService);
+
+  dispatch::SplitState& SplitOf(const std::string& aRoute);
+
+  void CloseExpired(base::Instant aNow);
+
+  size_t Size() const { return this->byId.size(); }
+
+private:
+  std::shared_ptr<UpstreamServer> Create(const directory::Server& aServer, unsigned aConnections);
+  base::Duration AssumedRoundTrip(const std::string& aZone) const;
+
+  Options options;
+  size_t instances;
+  std::map<std::string, std::shared_ptr<UpstreamServer>> byId;
+  std::unordered_map<std::string, Servers> byService;
+  std::unordered_map<std::string, std::shared_ptr<dispatch::WorkEstimate>> work;
+  std::unordered_map<std::string, routing::AttemptBudget> budgets;
+  std::unordered_map<std::string, dispatch::SplitState> splits;
+};
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/include/engine/Instance.h
@@ -0,0 +1,38 @@
+/// @file A running instance: it follows the platform's store, serves callers, and stops gracefully.
+#pragma once
+
+#include <engine/Settings.h>
+#include <engine/Wire.h>
+#include <memory>
+#include <system_error>
+
+namespace sapphirewind::engine {
+
+class Instance
+{
+public:
+  struct Options
+  {
+    Settings settings;
+    WireCodec wire;
+    StoreCodec store;
+  };
+
+  explicit Instance(Options aOptions);
+  ~Instance();
+
+  /// Listens and starts following the store. Errors: an address cannot be used.
+  std::error_code Start();
+
+  /// Serves until it was asked to stop and has stopped. Precondition: Start succeeded.
+  void Run();
+
+  /// Begins a graceful stop; call from the loop's thread or before Run.
+  void Stop();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/include/engine/ServiceCall.h
@@ -0,0 +1,112 @@
+/// @file One request at one service: the attempts at its servers until one answers.
+#pragma once
+
+#include <base/Random.h>
+#include <directory/RouteTable.h>
+#include <dispatch/Outcome.h>
+#include <engine/Fleet.h>
+#include <engine/Metrics.h>
+
+namespace sapphirewind::engine {
+
+/// What every request needs of the instance.
+struct EngineContext
+{
+  Loop& loop;
+  const WireCodec& codec;
+  Fleet& fleet;
+  base::Random& random;
+  Metrics& metrics;
+};
+
+/// A caller's request while it is served.
+struct IncomingRequest
+{
+  std::shared_ptr<const HttpRequest> message;
+  RequestMeta meta;
+  base::Instant receivedAt{};
+  /// Until when an answer is of use: the caller's patience and the route's timeout.
+  base::Instant deadline{};
+  /// Until when an answer counts in full.
+  base::Instant objective{};
+  std::shared_ptr<const directory::RouteTable> routes;
+  const directory::Route* route = nullptr;
+};
+
+class ServiceCall : public std::enable_shared_from_this<ServiceCall>
+{
+public:
+  enum class State
+  {
+    Pending,  ///< An answer may still come.
+    Answered, ///< Answer() is there.
+    Failed    ///< No answer can come any more; Answer() may hold the server's own failure.
+  };
+
+  struct Options
+  {
+    EngineContext& context;
+    std::shared_ptr<const IncomingRequest> request;
+    std::string service;
+    /// By when the answer must be there to be of full use.
+    base::Instant answerBy{};
+    /// Called after each change of state, never from within Start or Advance.
+    std::function<void()> onChange;
+  };
+
+  explicit ServiceCall(Options aOptions);
+
+  void Start(base::Instant aNow);
+
+  /// Sends again or a second time when that is due.
+  void Advance(base::Instant aNow);
+
+  /// When Advance has something to do next.
+  base::Instant NextDue() const { return this->nextDue; }
+
+  /// Closes all connections under way.
+  void Cancel();
+
+  /// Lets what is under way end by itself for a while.
+  void Detach();
+
+  State CurrentState() const { return this->state; }
+  const ExchangeResult& Answer() const { return this->answer; }
+  bool HasAnswer() const { return this->hasAnswer; }
+  const dispatch::AttemptHistory& History() const { return this->history; }
+  const std::string& Service() const { return this->options.service; }
+  unsigned Hedges() const { return this->hedges; }
+
+private:
+  enum class Sent
+  {
+    Yes,
+    NotNow, ///< No server with room, or no budget, at this moment.
+    Never   ///< No further attempt is allowed.
+  };
+
+  Sent TrySend(base::Instant aNow);
+  void Launch(const std::shared_ptr<UpstreamServer>& aServer, base::Instant aNow);
+  std::optional<base::Duration> ExpectedOfAnother(base::Instant aNow);
+  std::shared_ptr<UpstreamServer> Choose(base::Instant aNow);
+  std::shared_ptr<HttpRequest> MakeRequest(const UpstreamServer& aServer, base::Instant aNow) const;
+  void OnEnd(const std::shared_ptr<Attempt>& aAttempt, ExchangeResult&& aResult);
+  void Settle(State aState);
+
+  Options options;
+  State state = State::Pending;
+  std::shared_ptr<dispatch::WorkEstimate> work;
+  dispatch::AttemptHistory history;
+  std::vector<std::shared_ptr<Attempt>> open;
+  std::vector<const UpstreamServer*> tried;
+  /// Keeps the servers of `tried` alive, so that their addresses stay theirs.
+  std::vector<std::shared_ptr<UpstreamServer>> triedServers;
+  ExchangeResult answer;
+  bool hasAnswer = false;
+  unsigned hedges = 0;
+  bool resendDue = false;
+  base::Instant hedgeAt = base::Instant::max();
+  base::Instant nextDue = base::Instant::max();
+};
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/include/engine/Settings.h
@@ -0,0 +1,39 @@
+/// @file The settings of one instance, JSON with comments, checked as a whole.
+#pragma once
+
+#include <base/Time.h>
+#include <document/Document.h>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace sapphirewind::engine {
+
+struct Settings
+{
+  std::string instance;
+  std::string zone;
+  /// Regions by zone, to judge distances before they are measured.
+  std::map<std::string, std::string> regions;
+  /// Where callers connect.
+  std::string callerAddress;
+  /// Where /ready and /metrics are served.
+  std::string statusAddress;
+  std::string storeAddress;
+  /// Descriptors that connections may use.
+  unsigned maxDescriptors = 1024;
+  /// Second sends to a service in a window, as a share of its requests and beyond that, for all
+  /// instances together.
+  double extraShare = 0.2;
+  double extraMinimum = 0.0;
+  /// From the request to stop to the forced end.
+  base::Duration stopWithin = std::chrono::seconds(6);
+
+  bool operator==(const Settings&) const = default;
+};
+
+/// Parses and checks; notes every problem with its line.
+std::optional<Settings>
+ParseSettings(std::string_view aText, document::Problems& aProblems);
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/Asio.cpp
@@ -0,0 +1,79 @@
+#include <engine/Asio.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <vector>
+
+namespace sapphirewind::engine {
+
+std::optional<Tcp::endpoint>
+ParseEndpoint(const std::string& aText)
+{
+  size_t colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  ErrorCode error;
+  auto address = asio::ip::make_address(aText.substr(0, colon), error);
+  uint16_t port = 0;
+  const char* end = aText.data() + aText.size();
+  auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
+  if (error || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return Tcp::endpoint(address, port);
+}
+
+ErrorCode
+Listen(Tcp::acceptor& aAcceptor, const Tcp::endpoint& aEndpoint)
+{
+  /// Connections that may wait while the loop is busy; a refused one is tried again after seconds.
+  constexpr int kBacklog = 512;
+  ErrorCode error;
+  aAcceptor.open(aEndpoint.protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(aEndpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(kBacklog, error);
+  }
+  return error;
+}
+
+bool
+IsHopByHop(http::field aField)
+{
+  constexpr std::array kFields = { http::field::connection,        http::field::keep_alive,
+                                   http::field::proxy_connection,  http::field::proxy_authenticate,
+                                   http::field::te,                http::field::trailer,
+                                   http::field::transfer_encoding, http::field::upgrade,
+                                   http::field::proxy_authorization };
+  return std::find(kFields.begin(), kFields.end(), aField) != kFields.end();
+}
+
+void
+RemoveHopByHop(http::fields& aFields)
+{
+  std::vector<std::string> named;
+  auto connection = aFields.equal_range(http::field::connection);
+  for (auto field = connection.first; field != connection.second; ++field) {
+    for (const auto& token : http::token_list(field->value())) {
+      named.emplace_back(token);
+    }
+  }
+  for (const std::string& name : named) {
+    aFields.erase(name);
+  }
+  for (auto field = aFields.begin(); field != aFields.end();) {
+    auto current = field++;
+    if (IsHopByHop(current->name())) {
+      aFields.erase(current);
+    }
+  }
+}
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/ClientSession.cpp
@@ -0,0 +1,361 @@
+#include <engine/ClientSession.h>
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+#include <telemetry/Events.h>
+
+namespace sapphirewind::engine {
+
+namespace {
+
+constexpr size_t kReadBytes = 8 * 1024;
+/// Bytes that a caller may send ahead of its answer before reading stops.
+constexpr size_t kMostBytesAhead = 64 * 1024;
+/// How long bytes that cross the last answer are read, so that the close does not reset it.
+constexpr base::Duration kLingerTime = std::chrono::milliseconds(500);
+/// A caller that does not take its answer for this long is given up.
+constexpr base::Duration kWriteTimeout = std::chrono::seconds(10);
+/// How long a caller waits that does not say so: no longer than the route's timeout anyway.
+constexpr base::Duration kDefaultPatience = std::chrono::seconds(60);
+/// When a caller is told to come back while there is no configuration yet.
+constexpr base::Duration kRetryWithoutConfiguration = std::chrono::milliseconds(300);
+
+http::status
+StatusOf(ErrorCode aError)
+{
+  if (aError == http::error::header_limit) {
+    return http::status::request_header_fields_too_large;
+  }
+  if (aError == http::error::body_limit) {
+    return http::status::payload_too_large;
+  }
+  return http::status::bad_request;
+}
+
+/// Whether a parsed request can be served at all: one host, a path, a method with a plain meaning.
+bool
+IsProper(const HttpRequest& aRequest)
+{
+  auto hosts = aRequest.equal_range(http::field::host);
+  bool oneHost = std::distance(hosts.first, hosts.second) == 1;
+  bool path = !aRequest.target().empty() && aRequest.target().front() == '/';
+  bool method =
+    aRequest.method() != http::verb::connect && aRequest.method() != http::verb::trace;
+  return oneHost && path && method;
+}
+
+} // namespace
+
+ClientSession::ClientSession(SessionHost& aHost, Tcp::socket aSocket)
+  : host(aHost)
+  , socket(std::move(aSocket))
+  , timer(aHost.Context().loop)
+{
+}
+
+void
+ClientSession::Start()
+{
+  ErrorCode ignored; // Without the option the connection works, only slower.
+  this->socket.set_option(Tcp::no_delay(true), ignored);
+  this->NextRequest();
+  this->Read();
+}
+
+void
+ClientSession::NextRequest()
+{
+  directory::CallerLimits limits = this->host.Limits();
+  this->state = State::Reading;
+  this->requestStarted = false;
+  this->continueSent = false;
+  this->parser.emplace();
+  this->parser->eager(true);
+  this->parser->header_limit(static_cast<uint32_t>(limits.headerBytes));
+  this->parser->body_limit(limits.bodyBytes);
+  this->idleTimeout = limits.idleTimeout;
+  this->ArmTimer(limits.idleTimeout);
+  if (this->buffer.size() > 0) {
+    this->OnBytes();
+  }
+}
+
+void
+ClientSession::Read()
+{
+  if (this->readPending || this->state == State::Closed ||
+      this->buffer.size() >= kMostBytesAhead + this->host.Limits().bodyBytes) {
+    return;
+  }
+  this->readPending = true;
+  auto self = this->shared_from_this();
+  this->socket.async_read_some(this->buffer.prepare(kReadBytes),
+                               [self](ErrorCode aError, size_t aCount) {
+                                 self->readPending = false;
+                                 if (self->state == State::Closed) {
+                                   return;
+                                 }
+                                 if (aError) {
+                                   self->Close();
+                                   return;
+                                 }
+                                 self->buffer.commit(aCount);
+                                 self->OnBytes();
+                                 self->Read();
+                               });
+}
+
+void
+ClientSession::OnBytes()
+{
+  if (this->state == State::Lingering) {
+    this->buffer.consume(this->buffer.size());
+    return;
+  }
+  if (this->state != State::Reading || this->buffer.size() == 0) {
+    return;
+  }
+  if (!this->requestStarted) {
+    this->requestStarted = true;
+    this->requestStartedAt = base::Now();
+    this->ArmTimer(this->host.Limits().headerTimeout);
+  }
+  this->ParseRequest();
+}
+
+void
+ClientSession::ParseRequest()
+{
+  while (this->buffer.size() > 0 && !this->parser->is_done()) {
+    ErrorCode error;
+    size_t used = this->parser->put(this->buffer.data(), error);
+    this->buffer.consume(used);
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      this->RejectMalformed(error);
+      return;
+    }
+    if (used == 0) {
+      break;
+    }
+  }
+  if (this->parser->is_done()) {
+    this->Dispatch();
+    return;
+  }
+  this->ContinueIfExpected();
+}
+
+void
+ClientSession::ContinueIfExpected()
+{
+  if (this->continueSent || !this->parser->is_header_done() ||
+      !boost::beast::iequals(this->parser->get()[http::field::expect], "100-continue")) {
+    return;
+  }
+  this->continueSent = true;
+  auto interim = std::make_shared<http::response<http::empty_body>>(http::status::continue_, 11);
+  http::async_write(
+    this->socket, *interim, [self = this->shared_from_this(), interim](ErrorCode aError, size_t) {
+      if (aError) {
+        self->Close();
+      }
+    });
+}
+
+void
+ClientSession::RejectMalformed(ErrorCode aError)
+{
+  http::status status = StatusOf(aError);
+  this->host.Context().metrics.Count(Counter::BadRequest);
+  telemetry::Log(
+    telemetry::Event::RequestRejected,
+    { { "status", std::to_string(static_cast<int>(status)) }, { "why", aError.message() } });
+  this->keepAlive = false;
+  this->Write(MakeOwnAnswer(status, "malformed request: " + aError.message()));
+}
+
+void
+ClientSession::Dispatch()
+{
+  this->state = State::Serving;
+  this->timer.cancel();
+  auto message = std::make_shared<HttpRequest>(this->parser->release());
+  this->keepAlive = message->keep_alive();
+  EngineContext& context = this->host.Context();
+  if (!IsProper(*message)) {
+    this->keepAlive = false;
+    context.metrics.Count(Counter::BadRequest);
+    telemetry::Log(telemetry::Event::RequestRejected,
+                   { { "status", "400" }, { "why", "no single host, path or usable method" } });
+    this->Write(MakeOwnAnswer(http::status::bad_request, "not a request that can be served"));
+    return;
+  }
+  std::shared_ptr<const directory::RouteTable> routes = this->host.Routes();
+  if (!routes) {
+    this->Write(MakeRefusal(dispatch::Refusal::NotRun, kRetryWithoutConfiguration));
+    return;
+  }
+  auto host = (*message)[http::field::host];
+  const directory::Route* route =
+    routes->Find(std::string_view(host.data(), host.size()),
+                 std::string_view(message->target().data(), message->target().size()));
+  if (route == nullptr) {
+    context.metrics.Count(Counter::BadRequest);
+    telemetry::Log(telemetry::Event::RequestRejected,
+                   { { "status", "404" },
+                     { "why", "no route" },
+                     { "version", std::to_string(routes->Current().version) },
+                     { "target", std::string(message->target()) } });
+    this->Write(MakeOwnAnswer(http::status::not_found, "no route"));
+    return;
+  }
+  RemoveHopByHop(*message);
+  message->erase(http::field::expect);
+  message->prepare_payload();
+  this->StartRun(message, routes, *route);
+}
+
+void
+ClientSession::StartRun(std::shared_ptr<const HttpRequest> aRequest,
+                        std::shared_ptr<const directory::RouteTable> aRoutes,
+                        const directory::Route& aRoute)
+{
+  EngineContext& context = this->host.Context();
+  auto incoming = std::make_shared<IncomingRequest>();
+  incoming->message = aRequest;
+  incoming->meta = context.codec.readRequest(*aRequest);
+  incoming->receivedAt = this->requestStartedAt;
+  base::Duration patience = incoming->meta.patience.value_or(kDefaultPatience);
+  incoming->deadline = this->requestStartedAt + std::min(patience, aRoute.timeout);
+  incoming->objective = this->requestStartedAt + aRoute.objective;
+  incoming->routes = std::move(aRoutes);
+  incoming->route = &aRoute;
+  std::weak_ptr<ClientSession> weak = this->weak_from_this();
+  this->run = engine::StartRun(context, incoming, [weak](HttpResponse&& aResponse) {
+    if (auto self = weak.lock()) {
+      self->run.reset();
+      self->Write(std::move(aResponse));
+    }
+  });
+}
+
+void
+ClientSession::Write(HttpResponse&& aResponse)
+{
+  if (this->state == State::Closed) {
+    return;
+  }
+  this->state = State::Writing;
+  this->keepAlive = this->keepAlive && !this->host.IsDraining();
+  this->response = std::make_shared<HttpResponse>(std::move(aResponse));
+  this->response->keep_alive(this->keepAlive);
+  if (this->keepAlive) {
+    auto seconds = std::chrono::duration_cast<std::chrono::seconds>(this->idleTimeout);
+    this->response->set(http::field::keep_alive, fmt::format("timeout={}", seconds.count()));
+  }
+  this->ArmTimer(kWriteTimeout);
+  http::async_write(this->socket,
+                    *this->response,
+                    [self = this->shared_from_this()](ErrorCode aError, size_t) {
+                      if (self->state != State::Writing) {
+                        return;
+                      }
+                      if (aError) {
+                        self->Close();
+                        return;
+                      }
+                      self->OnWritten();
+                    });
+}
+
+void
+ClientSession::OnWritten()
+{
+  if (!this->keepAlive) {
+    this->Linger();
+    return;
+  }
+  this->NextRequest();
+  this->Read();
+}
+
+void
+ClientSession::Linger()
+{
+  this->state = State::Lingering;
+  this->buffer.consume(this->buffer.size());
+  ErrorCode error;
+  this->socket.shutdown(Tcp::socket::shutdown_send, error);
+  if (error) {
+    this->Close();
+    return;
+  }
+  this->ArmTimer(kLingerTime);
+  this->Read();
+}
+
+void
+ClientSession::ArmTimer(base::Duration aAfter)
+{
+  this->timer.expires_after(aAfter);
+  this->timer.async_wait([self = this->shared_from_this()](ErrorCode aError) {
+    if (!aError && self->state != State::Closed) {
+      self->OnTimer();
+    }
+  });
+}
+
+void
+ClientSession::OnTimer()
+{
+  bool halfRead = this->state == State::Reading && this->requestStarted;
+  if (halfRead) {
+    this->keepAlive = false;
+    this->host.Context().metrics.Count(Counter::BadRequest);
+    telemetry::Log(telemetry::Event::RequestRejected,
+                   { { "status", "408" }, { "why", "the request took too long to arrive" } });
+    this->Write(MakeOwnAnswer(http::status::request_timeout, "the request took too long"));
+    return;
+  }
+  base::Duration current = this->host.Limits().idleTimeout;
+  if (this->state == State::Reading && current > this->idleTimeout) {
+    // The limit was raised meanwhile, and the caller may know.
+    base::Duration further = current - this->idleTimeout;
+    this->idleTimeout = current;
+    this->ArmTimer(further);
+    return;
+  }
+  this->Close();
+}
+
+void
+ClientSession::CloseIfIdle()
+{
+  if (!this->IsBusy()) {
+    this->Linger();
+  }
+}
+
+void
+ClientSession::Close()
+{
+  if (this->state == State::Closed) {
+    return;
+  }
+  this->state = State::Closed;
+  if (this->run) {
+    this->run->Cancel();
+    this->run.reset();
+  }
+  this->timer.cancel();
+  ErrorCode ignored; // The connection is of no use either way.
+  this->socket.close(ignored);
+  this->host.OnSessionClosed(this->shared_from_this());
+}
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/Fleet.cpp
@@ -0,0 +1,148 @@
+#include <engine/Fleet.h>
+
+#include <algorithm>
+#include <telemetry/Events.h>
+
+namespace sapphirewind::engine {
+
+namespace {
+
+/// Instances that are assumed to share limits until it is known.
+constexpr size_t kAssumedInstances = 9;
+/// The part of the stated share of second sends that is used; the rest covers uneven windows.
+constexpr double kUsedShare = 0.85;
+/// The part of the stated minimum that instances hand out among themselves.
+constexpr double kUsedMinimum = 0.85;
+/// Round trips that are assumed until a connection was timed.
+constexpr base::Duration kSameZone = std::chrono::microseconds(500);
+constexpr base::Duration kSameRegion = std::chrono::milliseconds(2);
+constexpr base::Duration kOtherRegion = std::chrono::milliseconds(30);
+
+const Fleet::Servers kNoServers;
+
+} // namespace
+
+Fleet::Fleet(Options aOptions)
+  : options(std::move(aOptions))
+  , instances(kAssumedInstances)
+{
+}
+
+base::Duration
+Fleet::AssumedRoundTrip(const std::string& aZone) const
+{
+  if (aZone == this->options.zone) {
+    return kSameZone;
+  }
+  auto own = this->options.regions.find(this->options.zone);
+  auto other = this->options.regions.find(aZone);
+  bool sameRegion = own != this->options.regions.end() && other != this->options.regions.end() &&
+                    own->second == other->second;
+  return sameRegion ? kSameRegion : kOtherRegion;
+}
+
+std::shared_ptr<UpstreamServer>
+Fleet::Create(const directory::Server& aServer, unsigned aConnections)
+{
+  std::optional<Tcp::endpoint> endpoint = ParseEndpoint(aServer.address);
+  if (!endpoint) {
+    telemetry::Log(telemetry::Event::ObjectMalformed,
+                   { { "object", aServer.id }, { "why", "no address: " + aServer.address } });
+    return nullptr;
+  }
+  return std::make_shared<UpstreamServer>(
+    UpstreamServer::Options{ .loop = this->options.loop,
+                             .codec = this->options.codec,
+                             .server = aServer,
+                             .endpoint = *endpoint,
+                             .assumedRoundTrip = this->AssumedRoundTrip(aServer.zone),
+                             .maxInFlight = aConnections });
+}
+
+void
+Fleet::Update(const directory::ServerTable& aTable, const directory::RouteTable* aRoutes)
+{
+  std::map<std::string, std::shared_ptr<UpstreamServer>> next;
+  this->byService.clear();
+  for (const auto& [id, entry] : aTable.entries) {
+    const directory::Service* service =
+      aRoutes == nullptr ? nullptr : aRoutes->FindService(entry.server.service);
+    unsigned limit = service == nullptr ? 1 : service->maxConnections;
+    unsigned connections = std::max(1U, limit / static_cast<unsigned>(this->instances));
+    auto known = this->byId.find(id);
+    bool same = known != this->byId.end() &&
+                known->second->Description().address == entry.server.address &&
+                known->second->Description().startedAtMs == entry.server.startedAtMs &&
+                known->second->Description().service == entry.server.service;
+    std::shared_ptr<UpstreamServer> server =
+      same ? known->second : this->Create(entry.server, connections);
+    if (!server) {
+      continue;
+    }
+    server->State().maxInFlight = connections;
+    if (entry.server.draining) {
+      server->Retire();
+    }
+    next.emplace(id, server);
+    this->byService[entry.server.service].push_back(server);
+  }
+  for (const auto& [id, server] : this->byId) {
+    auto kept = next.find(id);
+    if (kept == next.end() || kept->second != server) {
+      server->Retire();
+    }
+  }
+  this->byId = std::move(next);
+}
+
+void
+Fleet::SetInstances(size_t aInstances)
+{
+  this->instances = std::max<size_t>(1, aInstances);
+}
+
+const Fleet::Servers&
+Fleet::ServersOf(const std::string& aService) const
+{
+  auto found = this->byService.find(aService);
+  return found == this->byService.end() ? kNoServers : found->second;
+}
+
+std::shared_ptr<dispatch::WorkEstimate>
+Fleet::WorkOf(const std::string& aRoute)
+{
+  std::shared_ptr<dispatch::WorkEstimate>& estimate = this->work[aRoute];
+  if (!estimate) {
+    estimate = std::make_shared<dispatch::WorkEstimate>();
+  }
+  return estimate;
+}
+
+routing::AttemptBudget&
+Fleet::BudgetOf(const std::string& aService)
+{
+  auto [budget, isNew] = this->budgets.try_emplace(aService);
+  double most = kUsedMinimum * this->options.extraMinimum / static_cast<double>(this->instances);
+  budget->second.share = kUsedShare * this->options.extraShare;
+  budget->second.most = std::max(1.0, most);
+  if (isNew) {
+    budget->second.tokens = budget->second.most;
+  }
+  return budget->second;
+}
+
+dispatch::SplitState&
+Fleet::SplitOf(const std::string& aRoute)
+{
+  return this->splits[aRoute];
+}
+
+void
+Fleet::CloseExpired(base::Instant aNow)
+{
+  for (const auto& [id, server] : this->byId) {
+    server->CloseExpired(aNow);
+  }
+}
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/GatherRun.cpp
@@ -0,0 +1,155 @@
+#include "GatherRun.h"
+
+#include <algorithm>
+
+namespace sapphirewind::engine {
+
+void
+GatherRun::Start()
+{
+  base::Instant now = base::Now();
+  std::weak_ptr<GatherRun> weak = this->weak_from_this();
+  for (const std::string& service : this->request->route->shards) {
+    this->calls.push_back(std::make_shared<ServiceCall>(
+      ServiceCall::Options{ .context = this->context,
+                            .request = this->request,
+                            .service = service,
+                            .answerBy = this->AnswerBy(),
+                            .onChange = [weak] {
+                              if (auto self = weak.lock(); self && !self->IsDone()) {
+                                self->Evaluate();
+                              }
+                            } }));
+  }
+  for (const auto& call : this->calls) {
+    call->Start(now);
+  }
+  this->WakeNow();
+}
+
+base::Instant
+GatherRun::AnswerBy() const
+{
+  return this->request->objective - dispatch::kAnswerMargin;
+}
+
+dispatch::GatherState
+GatherRun::StateNow() const
+{
+  dispatch::GatherState state;
+  state.shards = this->calls.size();
+  state.leastParts =
+    dispatch::LeastParts(state.shards, this->request->route->leastCoverage);
+  for (const auto& call : this->calls) {
+    state.parts += call->CurrentState() == ServiceCall::State::Answered ? 1 : 0;
+    state.pending += call->CurrentState() == ServiceCall::State::Pending ? 1 : 0;
+  }
+  return state;
+}
+
+void
+GatherRun::AdvanceCalls(base::Instant aNow)
+{
+  for (const auto& call : this->calls) {
+    if (aNow >= call->NextDue()) {
+      call->Advance(aNow);
+    }
+  }
+}
+
+bool
+GatherRun::NothingSent() const
+{
+  return std::all_of(this->calls.begin(), this->calls.end(), [](const auto& aCall) {
+    return dispatch::TrueRefusal(aCall->History(), false) == dispatch::Refusal::NotRun;
+  });
+}
+
+dispatch::Refusal
+GatherRun::TrueRefusal(bool aTimeIsOver) const
+{
+  if (this->NothingSent()) {
+    return dispatch::Refusal::NotRun;
+  }
+  return aTimeIsOver ? dispatch::Refusal::TimedOut : dispatch::Refusal::Unknown;
+}
+
+void
+GatherRun::Evaluate()
+{
+  base::Instant now = base::Now();
+  this->AdvanceCalls(now);
+  bool timeIsOver = now >= this->LastMoment();
+  dispatch::GatherStep step = dispatch::NextGatherStep(this->StateNow(), this->AnswerBy(), now);
+  if (step == dispatch::GatherStep::Answer) {
+    this->Answer();
+    return;
+  }
+  bool foundNoRoom = now >= this->RefuseBy() && this->NothingSent();
+  if (step == dispatch::GatherStep::GiveUp || timeIsOver || foundNoRoom) {
+    this->Refuse(this->TrueRefusal(timeIsOver), this->Detail());
+    return;
+  }
+  base::Instant wake = this->LastMoment();
+  for (base::Instant due : { this->AnswerBy(), this->RefuseBy() }) {
+    wake = due > now ? std::min(wake, due) : wake;
+  }
+  for (const auto& call : this->calls) {
+    wake = std::min(wake, call->NextDue());
+  }
+  this->WakeAt(wake);
+}
+
+std::string
+GatherRun::Detail() const
+{
+  std::string missing;
+  unsigned hedges = 0;
+  for (const auto& call : this->calls) {
+    hedges += call->Hedges();
+    if (call->CurrentState() != ServiceCall::State::Answered) {
+      missing += (missing.empty() ? "" : ",") + call->Service() + ":" +
+                 std::to_string(call->History().sent);
+    }
+  }
+  return "hedges=" + std::to_string(hedges) + " missing=" + missing;
+}
+
+void
+GatherRun::Answer()
+{
+  CoverageMeta coverage;
+  std::vector<std::string_view> parts;
+  for (const auto& call : this->calls) {
+    if (call->CurrentState() == ServiceCall::State::Answered) {
+      parts.push_back(call->Answer().response.body());
+      coverage.signatures.push_back(call->Answer().meta.signature);
+    }
+  }
+  coverage.missing = this->calls.size() - parts.size();
+  HttpResponse response(http::status::ok, 11);
+  response.set(http::field::content_type, "application/octet-stream");
+  this->context.codec.writeCoverage(response, coverage);
+  response.body() = dispatch::MergeTopRecords(parts, this->request->route->topRecords);
+  response.prepare_payload();
+  Counter counter = coverage.missing == 0 ? Counter::Answered : Counter::AnsweredPartly;
+  this->Respond(std::move(response), counter, this->Detail());
+}
+
+void
+GatherRun::CancelCalls()
+{
+  for (const auto& call : this->calls) {
+    call->Cancel();
+  }
+}
+
+void
+GatherRun::DetachCalls()
+{
+  for (const auto& call : this->calls) {
+    call->Detach();
+  }
+}
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/GatherRun.h
@@ -0,0 +1,37 @@
+/// @file A query over shards: one part of each, merged, with its true coverage.
+#pragma once
+
+#include "RunBase.h"
+
+#include <dispatch/Gather.h>
+
+namespace sapphirewind::engine {
+
+class GatherRun final
+  : public RunBase
+  , public std::enable_shared_from_this<GatherRun>
+{
+public:
+  using RunBase::RunBase;
+
+  void Start();
+
+protected:
+  void Evaluate() override;
+  void CancelCalls() override;
+  void DetachCalls() override;
+  std::shared_ptr<RunBase> Self() override { return this->shared_from_this(); }
+
+private:
+  dispatch::GatherState StateNow() const;
+  base::Instant AnswerBy() const;
+  void AdvanceCalls(base::Instant aNow);
+  bool NothingSent() const;
+  dispatch::Refusal TrueRefusal(bool aTimeIsOver) const;
+  std::string Detail() const;
+  void Answer();
+
+  std::vector<std::shared_ptr<ServiceCall>> calls;
+};
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/Instance.cpp
@@ -0,0 +1,195 @@
+#include <engine/Instance.h>
+
+#include <algorithm>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <engine/StatusServer.h>
+#include <set>
+#include <telemetry/Events.h>
+
+#include "Ingress.h"
+#include "World.h"
+
+namespace sapphirewind::engine {
+
+namespace {
+
+/// How often lapsed entries and kept connections are looked at.
+constexpr base::Duration kHousekeeping = std::chrono::milliseconds(100);
+/// After the request to stop, callers are still accepted for this long: the balancer asks once a
+/// second and sends no new connection after two refusals.
+constexpr base::Duration kNotice = std::chrono::milliseconds(2500);
+/// The process ends this long before it would be killed.
+constexpr base::Duration kStopMargin = std::chrono::milliseconds(700);
+/// How often a stopping instance looks whether its last caller has left.
+constexpr base::Duration kStopPoll = std::chrono::milliseconds(50);
+
+} // namespace
+
+class Instance::Impl
+{
+public:
+  explicit Impl(Options aOptions)
+    : settings(std::move(aOptions.settings))
+    , wire(aOptions.wire)
+    , fleet(Fleet::Options{ .loop = this->loop,
+                            .codec = this->wire,
+                            .zone = this->settings.zone,
+                            .regions = this->settings.regions,
+                            .extraShare = this->settings.extraShare,
+                            .extraMinimum = this->settings.extraMinimum })
+    , context{ .loop = this->loop,
+               .codec = this->wire,
+               .fleet = this->fleet,
+               .random = base::ThreadRandom(),
+               .metrics = this->metrics }
+    , world(World::Options{ .context = this->context,
+                            .codec = aOptions.store,
+                            .storeAddress = this->settings.storeAddress })
+    , ingress(Ingress::Options{ .context = this->context,
+                                .world = this->world,
+                                .endpoint = *ParseEndpoint(this->settings.callerAddress),
+                                .maxSessions = this->settings.maxDescriptors / 2 })
+    , status(StatusServer::Options{ .loop = this->loop,
+                                    .endpoint = *ParseEndpoint(this->settings.statusAddress),
+                                    .isReady = [this] { return this->IsReady(); },
+                                    .metrics = this->metrics })
+    , signals(this->loop, SIGTERM, SIGINT, SIGHUP)
+    , housekeeping(this->loop)
+    , stopTimer(this->loop)
+  {
+  }
+
+  std::error_code Start()
+  {
+    if (std::error_code error = this->status.Start()) {
+      return error;
+    }
+    if (std::error_code error = this->ingress.Start()) {
+      return error;
+    }
+    this->AwaitSignal();
+    this->world.Start();
+    this->KeepHouse();
+    telemetry::Log(telemetry::Event::Started,
+                   { { "instance", this->settings.instance },
+                     { "zone", this->settings.zone },
+                     { "listen", this->settings.callerAddress } });
+    return {};
+  }
+
+  void Run() { this->loop.run(); }
+
+  void Stop()
+  {
+    if (this->ingress.IsDraining()) {
+      return;
+    }
+    telemetry::Log(telemetry::Event::Stopping,
+                   { { "sessions", std::to_string(this->ingress.Sessions()) } });
+    this->ingress.BeginDraining();
+    this->stopStartedAt = base::Now();
+    this->stopTimer.expires_after(kNotice);
+    this->stopTimer.async_wait([this](ErrorCode aError) {
+      if (!aError) {
+        this->ingress.StopAccepting();
+        this->AwaitLastCaller();
+      }
+    });
+  }
+
+private:
+  bool IsReady() const { return !this->ingress.IsDraining() && this->world.IsUsable(); }
+
+  void AwaitSignal()
+  {
+    this->signals.async_wait([this](ErrorCode aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        // All that the settings state is addresses and shares that hold for the process's life.
+        telemetry::Log(telemetry::Event::SettingsReloaded, { { "changed", "nothing" } });
+      } else {
+        this->Stop();
+      }
+      this->AwaitSignal();
+    });
+  }
+
+  void KeepHouse()
+  {
+    base::Instant now = base::Now();
+    this->world.KeepHouse(now);
+    this->fleet.CloseExpired(now);
+    if (!this->wasReady && this->IsReady()) {
+      this->wasReady = true;
+      telemetry::Log(telemetry::Event::Ready, { { "servers", std::to_string(this->fleet.Size()) } });
+    }
+    this->housekeeping.expires_after(kHousekeeping);
+    this->housekeeping.async_wait([this](ErrorCode aError) {
+      if (!aError) {
+        this->KeepHouse();
+      }
+    });
+  }
+
+  void AwaitLastCaller()
+  {
+    bool timeIsOver = base::Now() - this->stopStartedAt >= this->settings.stopWithin - kStopMargin;
+    if (this->ingress.Sessions() == 0 || timeIsOver) {
+      telemetry::Log(timeIsOver ? telemetry::Event::StopForced : telemetry::Event::Drained,
+                     { { "sessions", std::to_string(this->ingress.Sessions()) } });
+      this->loop.stop();
+      return;
+    }
+    this->stopTimer.expires_after(kStopPoll);
+    this->stopTimer.async_wait([this](ErrorCode aError) {
+      if (!aError) {
+        this->AwaitLastCaller();
+      }
+    });
+  }
+
+  Settings settings;
+  WireCodec wire;
+  Loop loop{ 1 };
+  Metrics metrics;
+  Fleet fleet;
+  EngineContext context;
+  World world;
+  Ingress ingress;
+  StatusServer status;
+  asio::signal_set signals;
+  Timer housekeeping;
+  Timer stopTimer;
+  base::Instant stopStartedAt{};
+  bool wasReady = false;
+};
+
+Instance::Instance(Options aOptions)
+  : impl(std::make_unique<Impl>(std::move(aOptions)))
+{
+}
+
+Instance::~Instance() = default;
+
+std::error_code
+Instance::Start()
+{
+  return this->impl->Start();
+}
+
+void
+Instance::Run()
+{
+  this->impl->Run();
+}
+
+void
+Instance::Stop()
+{
+  this->impl->Stop();
+}
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/RunBase.h
@@ -0,0 +1,51 @@
+/// @file What plain requests and queries share: the timer, the one answer, and its log line.
+#pragma once
+
+#include <engine/RequestRun.h>
+
+namespace sapphirewind::engine {
+
+/// The part of the objective after which a request that could not be sent anywhere is refused, so
+/// that its caller can try another instance in time.
+constexpr int kRefuseAfterPart = 4;
+/// The final answer leaves this long before the caller's time is over.
+constexpr base::Duration kDeadlineMargin = std::chrono::milliseconds(10);
+/// When a caller whose request found no room is told to come back.
+constexpr base::Duration kRetryAfter = std::chrono::milliseconds(100);
+
+class RunBase : public RequestRun
+{
+public:
+  RunBase(EngineContext& aContext,
+          std::shared_ptr<const IncomingRequest> aRequest,
+          OnResponse aOnResponse);
+
+  void Cancel() override;
+
+protected:
+  /// Acts on what is due; called on each change and when the timer fires.
+  virtual void Evaluate() = 0;
+  virtual void CancelCalls() = 0;
+  virtual void DetachCalls() = 0;
+  virtual std::shared_ptr<RunBase> Self() = 0;
+
+  base::Instant RefuseBy() const;
+  base::Instant LastMoment() const { return this->request->deadline - kDeadlineMargin; }
+  bool IsDone() const { return this->done; }
+  /// Evaluates again at a time.
+  void WakeAt(base::Instant aWhen);
+  /// Evaluates again as soon as the event loop is free.
+  void WakeNow();
+  void Respond(HttpResponse&& aResponse, Counter aCounter, const std::string& aDetail);
+  void Refuse(dispatch::Refusal aRefusal, const std::string& aDetail);
+
+  EngineContext& context;
+  std::shared_ptr<const IncomingRequest> request;
+
+private:
+  OnResponse onResponse;
+  Timer timer;
+  bool done = false;
+};
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/ServiceCall.cpp
@@ -0,0 +1,230 @@
+#include <engine/ServiceCall.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <dispatch/Gather.h>
+#include <telemetry/Events.h>
+
+namespace sapphirewind::engine {
+
+namespace {
+
+/// How often a send is tried again that found no server with room or no budget: a short service
+/// time.
+constexpr base::Duration kResendInterval = std::chrono::milliseconds(10);
+/// A server gets no request that it has less than this to answer.
+constexpr base::Duration kLeastRemaining = std::chrono::milliseconds(3);
+/// How long an attempt may go on that nobody waits for: past an ordinary pause of a server.
+constexpr base::Duration kDetachedGrace = std::chrono::milliseconds(350);
+
+} // namespace
+
+ServiceCall::ServiceCall(Options aOptions)
+  : options(std::move(aOptions))
+  , work(this->options.context.fleet.WorkOf(this->options.request->route->name))
+{
+}
+
+void
+ServiceCall::Start(base::Instant aNow)
+{
+  routing::Earn(this->options.context.fleet.BudgetOf(this->options.service));
+  this->resendDue = true;
+  this->Advance(aNow);
+}
+
+void
+ServiceCall::Advance(base::Instant aNow)
+{
+  if (this->state != State::Pending) {
+    return;
+  }
+  bool hedgeDue = !this->resendDue && aNow >= this->hedgeAt;
+  if (this->resendDue || hedgeDue) {
+    Sent sent = this->TrySend(aNow);
+    if (sent == Sent::Yes) {
+      this->hedges += hedgeDue ? 1 : 0;
+      this->options.context.metrics.Count(Counter::Hedge, hedgeDue ? 1 : 0);
+      this->resendDue = false;
+    } else if (sent == Sent::Never) {
+      this->resendDue = false;
+      this->hedgeAt = base::Instant::max();
+      if (this->open.empty()) {
+        this->state = State::Failed;
+      }
+    }
+  }
+  bool waits = this->resendDue || aNow >= this->hedgeAt;
+  this->nextDue = waits ? aNow + kResendInterval : this->hedgeAt;
+}
+
+ServiceCall::Sent
+ServiceCall::TrySend(base::Instant aNow)
+{
+  const directory::Route& route = *this->options.request->route;
+  bool spent = this->history.sent >= std::max(1U, route.attempts);
+  if (spent || !dispatch::MaySendAgain(this->history, route.repeatability) ||
+      this->options.request->deadline - aNow < kLeastRemaining) {
+    return Sent::Never;
+  }
+  std::shared_ptr<UpstreamServer> server = this->Choose(aNow);
+  if (!server) {
+    return Sent::NotNow;
+  }
+  if (dispatch::IsExtra(this->history) &&
+      !routing::Spend(this->options.context.fleet.BudgetOf(this->options.service))) {
+    this->options.context.metrics.Count(Counter::BudgetExhausted);
+    return Sent::NotNow;
+  }
+  this->Launch(server, aNow);
+  return Sent::Yes;
+}
+
+std::shared_ptr<UpstreamServer>
+ServiceCall::Choose(base::Instant aNow)
+{
+  const Fleet::Servers& servers = this->options.context.fleet.ServersOf(this->options.service);
+  std::vector<const dispatch::Upstream*> states;
+  std::vector<size_t> triedIndexes;
+  for (size_t index = 0; index < servers.size(); ++index) {
+    states.push_back(&servers[index]->State());
+    bool wasTried =
+      std::find(this->tried.begin(), this->tried.end(), servers[index].get()) != this->tried.end();
+    if (wasTried) {
+      triedIndexes.push_back(index);
+    }
+  }
+  std::optional<size_t> chosen = dispatch::ChooseUpstream(
+    states, triedIndexes, *this->work, aNow, this->options.context.random);
+  return chosen ? servers[*chosen] : nullptr;
+}
+
+void
+ServiceCall::Launch(const std::shared_ptr<UpstreamServer>& aServer, base::Instant aNow)
+{
+  const IncomingRequest& incoming = *this->options.request;
+  bool repeatable = incoming.route->repeatability == directory::Repeatability::Idempotent;
+  dispatch::OnStarted(this->history);
+  this->tried.push_back(aServer.get());
+  this->triedServers.push_back(aServer);
+  auto self = this->shared_from_this();
+  auto slot = std::make_shared<std::weak_ptr<Attempt>>();
+  base::Duration expected = dispatch::ExpectedLatency(aServer->State(), *this->work, aNow);
+  std::shared_ptr<Attempt> attempt =
+    aServer->Send(this->MakeRequest(*aServer, aNow),
+                  incoming.meta.id,
+                  this->work,
+                  repeatable ? UpstreamServer::Reuse::AnyConnection
+                             : UpstreamServer::Reuse::RecentConnection,
+                  [self, slot](ExchangeResult&& aResult) {
+                    if (auto ended = slot->lock()) {
+                      self->OnEnd(ended, std::move(aResult));
+                    }
+                  });
+  *slot = attempt;
+  this->options.context.metrics.Count(Counter::UpstreamSend);
+  this->open.push_back(attempt);
+  this->hedgeAt = base::Instant::max();
+  bool mayHedge = repeatable && this->history.sent < incoming.route->attempts;
+  if (mayHedge) {
+    base::Duration another = this->ExpectedOfAnother(aNow).value_or(expected);
+    this->hedgeAt =
+      aNow + dispatch::HedgeDelay({ .expectedFirst = expected,
+                                    .expectedSecond = another,
+                                    .untilAnswer = this->options.answerBy - aNow });
+  }
+}
+
+std::optional<base::Duration>
+ServiceCall::ExpectedOfAnother(base::Instant aNow)
+{
+  std::shared_ptr<UpstreamServer> other = this->Choose(aNow);
+  if (!other) {
+    return std::nullopt;
+  }
+  return dispatch::ExpectedLatency(other->State(), *this->work, aNow);
+}
+
+std::shared_ptr<HttpRequest>
+ServiceCall::MakeRequest(const UpstreamServer& aServer, base::Instant aNow) const
+{
+  const IncomingRequest& incoming = *this->options.request;
+  auto request = std::make_shared<HttpRequest>(*incoming.message);
+  request->version(11);
+  request->keep_alive(true);
+  this->options.context.codec.writeUpstreamRequest(
+    *request,
+    UpstreamRequestMeta{ .remaining = incoming.deadline - aNow,
+                         .targetId = aServer.Description().id });
+  return request;
+}
+
+void
+ServiceCall::OnEnd(const std::shared_ptr<Attempt>& aAttempt, ExchangeResult&& aResult)
+{
+  std::erase(this->open, aAttempt);
+  bool isPart = aResult.response.result_int() / 100 == 2;
+  if (this->options.request->route->IsQuery() && !isPart &&
+      aResult.end == dispatch::AttemptEnd::Answered) {
+    aResult.end = dispatch::AttemptEnd::ServerError;
+  }
+  dispatch::OnEnded(this->history, aResult.end);
+  if (this->state != State::Pending) {
+    return;
+  }
+  bool answered = aResult.end == dispatch::AttemptEnd::Answered;
+  if (!answered) {
+    this->options.context.metrics.Count(Counter::AttemptFailed);
+    telemetry::Log(telemetry::Event::AttemptFailed,
+                   { { "request", this->options.request->meta.id },
+                     { "service", this->options.service },
+                     { "server", aAttempt->Server().Description().id },
+                     { "attempt", std::to_string(this->history.sent) },
+                     { "end", std::to_string(static_cast<int>(aResult.end)) },
+                     { "status", std::to_string(aResult.response.result_int()) },
+                     { "why", aResult.cause } });
+  }
+  if (answered || aResult.end == dispatch::AttemptEnd::ServerError) {
+    this->answer = std::move(aResult);
+    this->hasAnswer = true;
+  }
+  base::Instant now = base::Now();
+  if (answered) {
+    this->Settle(State::Answered);
+    return;
+  }
+  this->resendDue = true;
+  this->Advance(now);
+  this->options.onChange();
+}
+
+void
+ServiceCall::Settle(State aState)
+{
+  this->state = aState;
+  this->nextDue = base::Instant::max();
+  this->Detach();
+  this->options.onChange();
+}
+
+void
+ServiceCall::Cancel()
+{
+  std::vector<std::shared_ptr<Attempt>> closing;
+  closing.swap(this->open);
+  for (const auto& attempt : closing) {
+    attempt->Cancel();
+  }
+}
+
+void
+ServiceCall::Detach()
+{
+  std::vector<std::shared_ptr<Attempt>> leaving;
+  leaving.swap(this->open);
+  for (const auto& attempt : leaving) {
+    attempt->Detach(kDetachedGrace);
+  }
+}
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/Settings.cpp
@@ -0,0 +1,73 @@
+#include <engine/Settings.h>
+
+#include <engine/Asio.h>
+
+namespace sapphirewind::engine {
+
+namespace {
+
+std::string
+ReadAddress(document::ObjectReader& aReader, const char* aName)
+{
+  std::string address = aReader.RequiredText(aName);
+  if (!address.empty() && !ParseEndpoint(address)) {
+    aReader.Complain(aName, "is no address such as 10.0.0.1:80");
+  }
+  return address;
+}
+
+double
+ReadNumber(document::ObjectReader& aReader,
+           const Json::Value& aObject,
+           const char* aName,
+           double aMost)
+{
+  aReader.Known(aName);
+  const Json::Value& value = aObject[aName];
+  bool proper = value.isNumeric() && value.asDouble() >= 0.0 && value.asDouble() <= aMost;
+  if (!proper) {
+    aReader.Complain(aName, "must be a number from 0 to " + std::to_string(aMost));
+    return 0.0;
+  }
+  return value.asDouble();
+}
+
+} // namespace
+
+std::optional<Settings>
+ParseSettings(std::string_view aText, document::Problems& aProblems)
+{
+  constexpr double kMostExtra = 1e6;
+  constexpr int64_t kMostDescriptors = 1'000'000;
+  std::optional<document::Document> document = document::Document::Parse(aText, aProblems);
+  if (!document) {
+    return std::nullopt;
+  }
+  const Json::Value& root = document->Root();
+  document::ObjectReader reader(*document, root, "", aProblems);
+  Settings settings;
+  settings.instance = reader.RequiredText("instance");
+  settings.zone = reader.RequiredText("zone");
+  settings.callerAddress = ReadAddress(reader, "listen_callers");
+  settings.statusAddress = ReadAddress(reader, "listen_status");
+  settings.storeAddress = ReadAddress(reader, "store");
+  settings.maxDescriptors =
+    static_cast<unsigned>(reader.RequiredInteger("max_descriptors", 64, kMostDescriptors));
+  settings.stopWithin = reader.RequiredDuration("stop_within");
+  if (const Json::Value* regions = reader.RequiredObject("regions")) {
+    for (const std::string& zone : regions->getMemberNames()) {
+      settings.regions[zone] = (*regions)[zone].asString();
+    }
+  }
+  if (root.isObject()) {
+    settings.extraShare = ReadNumber(reader, root, "extra_share", 1.0);
+    settings.extraMinimum = ReadNumber(reader, root, "extra_minimum", kMostExtra);
+  }
+  reader.RejectUnknown();
+  if (!aProblems.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/UpstreamConnection.cpp
@@ -0,0 +1,283 @@
+#include <engine/UpstreamConnection.h>
+
+#include <boost/asio/buffer.hpp>
+#include <cassert>
+#include <charconv>
+
+namespace sapphirewind::engine {
+
+namespace {
+
+/// The largest answer that is taken from an upstream; answers are held in memory until complete.
+constexpr uint64_t kMostAnswerBytes = 8 * 1024 * 1024;
+constexpr uint32_t kMostHeaderBytes = 32 * 1024;
+constexpr size_t kReadBytes = 16 * 1024;
+/// Answers to earlier requests that are skipped before the connection is given up.
+constexpr size_t kMostStrayAnswers = 2;
+/// How long an idle connection is used when the server does not say how long it keeps it.
+constexpr base::Duration kDefaultKeepAlive = std::chrono::seconds(4);
+/// Time before the server's own limit at which an idle connection is no longer used.
+constexpr base::Duration kKeepAliveMargin = std::chrono::milliseconds(500);
+
+base::Duration
+KeepAliveOf(const http::fields& aFields)
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  auto value = aFields[http::field::keep_alive];
+  std::string_view text(value.data(), value.size());
+  size_t at = text.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return kDefaultKeepAlive;
+  }
+  int seconds = 0;
+  text.remove_prefix(at + kTimeout.size());
+  std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+UpstreamConnection::UpstreamConnection(Options aOptions)
+  : options(std::move(aOptions))
+  , socket(this->options.loop)
+  , connectTimer(this->options.loop)
+{
+}
+
+void
+UpstreamConnection::Exchange(std::shared_ptr<HttpRequest> aRequest,
+                             std::string aRequestId,
+                             OnResult aOnResult)
+{
+  assert(!this->onResult && "one request at a time");
+  this->request = std::move(aRequest);
+  this->requestId = std::move(aRequestId);
+  this->onResult = std::move(aOnResult);
+  this->written = false;
+  this->sending = false;
+  this->strayAnswers = 0;
+  if (this->state == State::Fresh) {
+    this->Connect();
+  } else {
+    this->Write();
+  }
+}
+
+void
+UpstreamConnection::Connect()
+{
+  this->state = State::Connecting;
+  auto self = this->shared_from_this();
+  this->connectTimer.expires_after(this->options.connectTimeout);
+  this->connectTimer.async_wait([self](ErrorCode aError) {
+    if (!aError && self->state == State::Connecting) {
+      self->Close("connect timeout");
+    }
+  });
+  base::Instant started = base::Now();
+  this->socket.async_connect(this->options.endpoint, [self, started](ErrorCode aError) {
+    if (self->state != State::Connecting) {
+      return;
+    }
+    self->connectTimer.cancel();
+    if (aError) {
+      self->Close("connect failed");
+      return;
+    }
+    ErrorCode ignored; // Without the option the connection works, only slower.
+    self->socket.set_option(Tcp::no_delay(true), ignored);
+    self->options.onConnected(base::Now() - started);
+    self->Write();
+    self->Read();
+  });
+}
+
+void
+UpstreamConnection::Write()
+{
+  this->state = State::Busy;
+  this->sending = true;
+  this->NewParser();
+  auto self = this->shared_from_this();
+  http::async_write(
+    this->socket, *this->request, [self, sent = this->request](ErrorCode aError, size_t) {
+      if (self->state != State::Busy || self->request != sent) {
+        return;
+      }
+      if (aError) {
+        self->Close("write failed");
+        return;
+      }
+      self->written = true;
+    });
+}
+
+void
+UpstreamConnection::Read()
+{
+  auto self = this->shared_from_this();
+  this->socket.async_read_some(this->buffer.prepare(kReadBytes),
+                               [self](ErrorCode aError, size_t aCount) {
+                                 if (self->state == State::Closed) {
+                                   return;
+                                 }
+                                 self->buffer.commit(aCount);
+                                 if (aError) {
+                                   self->OnEndOfStream(aError);
+                                   return;
+                                 }
+                                 self->OnBytes();
+                                 if (self->state != State::Closed) {
+                                   self->Read();
+                                 }
+                               });
+}
+
+void
+UpstreamConnection::OnBytes()
+{
+  if (this->state != State::Busy) {
+    this->Close("bytes without a request");
+    return;
+  }
+  while (this->state == State::Busy && this->buffer.size() > 0) {
+    if (!this->ParseAnswer()) {
+      return;
+    }
+  }
+}
+
+bool
+UpstreamConnection::ParseAnswer()
+{
+  ErrorCode error;
+  size_t used = this->parser->put(this->buffer.data(), error);
+  this->buffer.consume(used);
+  if (error == http::error::need_more) {
+    return false;
+  }
+  if (error) {
+    this->Finish(
+      ExchangeResult{ .end = dispatch::AttemptEnd::Unusable, .cause = "malformed answer" });
+    this->Close("malformed answer");
+    return false;
+  }
+  if (this->parser->is_done()) {
+    this->FinishAnswer();
+    return true;
+  }
+  return used > 0;
+}
+
+void
+UpstreamConnection::OnEndOfStream(ErrorCode aError)
+{
+  bool cleanEnd = aError == asio::error::eof;
+  if (cleanEnd && this->state == State::Busy && this->parser->got_some()) {
+    // An answer without a length is complete when the connection ends cleanly.
+    ErrorCode error;
+    this->parser->put_eof(error);
+    if (!error && this->parser->is_done()) {
+      this->FinishAnswer();
+    }
+  }
+  this->Close(cleanEnd ? "closed by the server" : "reset");
+}
+
+void
+UpstreamConnection::FinishAnswer()
+{
+  HttpResponse response = this->parser->release();
+  if (response.result_int() < 200) {
+    this->NewParser();
+    return;
+  }
+  ExchangeResult result;
+  result.meta = this->options.codec.readAnswer(response);
+  bool stray = !result.meta.requestId.empty() && result.meta.requestId != this->requestId;
+  if (stray && this->strayAnswers < kMostStrayAnswers && response.keep_alive()) {
+    ++this->strayAnswers;
+    this->NewParser();
+    return;
+  }
+  bool success = response.result_int() < 300;
+  bool usable = !stray && response.count(http::field::content_encoding) == 0 &&
+                (!success || !result.meta.signature.empty());
+  bool serverFailed = response.result_int() >= 500;
+  if (!usable) {
+    result.end = dispatch::AttemptEnd::Unusable;
+    result.cause = stray ? "answer to another request" : "unsigned or encoded answer";
+  } else if (result.meta.notExecuted || response.result() == http::status::misdirected_request) {
+    result.end = dispatch::AttemptEnd::NotExecuted;
+    result.misdirected = response.result() == http::status::misdirected_request;
+  } else {
+    result.end = serverFailed ? dispatch::AttemptEnd::ServerError : dispatch::AttemptEnd::Answered;
+  }
+  // Bytes beyond the answer, or a request that is not out yet, would spoil the next exchange.
+  bool reusable = usable && response.keep_alive() && this->written && this->buffer.size() == 0;
+  base::Duration keepAlive = KeepAliveOf(response);
+  result.response = std::move(response);
+  if (reusable) {
+    this->usableUntil = base::Now() + keepAlive - kKeepAliveMargin;
+    auto self = this->shared_from_this();
+    OnResult callback = std::move(this->onResult);
+    this->onResult = nullptr;
+    this->BecomeIdle();
+    if (callback) {
+      callback(std::move(result));
+    }
+    return;
+  }
+  this->Finish(std::move(result));
+  this->Close("not reusable");
+}
+
+void
+UpstreamConnection::BecomeIdle()
+{
+  this->state = State::Idle;
+  this->idleSince = base::Now();
+  this->request.reset();
+  this->options.onIdle(this->shared_from_this());
+}
+
+void
+UpstreamConnection::Finish(ExchangeResult&& aResult)
+{
+  OnResult callback = std::move(this->onResult);
+  this->onResult = nullptr;
+  if (callback) {
+    callback(std::move(aResult));
+  }
+}
+
+void
+UpstreamConnection::Close(const char* aCause)
+{
+  if (this->state == State::Closed) {
+    return;
+  }
+  auto self = this->shared_from_this();
+  this->state = State::Closed;
+  this->connectTimer.cancel();
+  ErrorCode ignored; // The connection is of no use either way.
+  this->socket.close(ignored);
+  this->options.onClosed(self);
+  this->Finish(ExchangeResult{
+    .end = this->sending ? dispatch::AttemptEnd::Lost : dispatch::AttemptEnd::NotConnected,
+    .cause = aCause });
+}
+
+void
+UpstreamConnection::NewParser()
+{
+  this->parser.emplace();
+  this->parser->eager(true);
+  this->parser->body_limit(kMostAnswerBytes);
+  this->parser->header_limit(kMostHeaderBytes);
+  if (this->request && this->request->method() == http::verb::head) {
+    this->parser->skip(true);
+  }
+}
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -0,0 +1,232 @@
+#include <engine/UpstreamServer.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <telemetry/Events.h>
+
+namespace sapphirewind::engine {
+
+namespace {
+
+/// A server in another region that does not answer at all is given up after this; the longest
+/// round trip of a user's deployment is a fifth of it.
+constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(250);
+/// A kept connection in use this recently is unlikely to be closed by the server meanwhile.
+constexpr base::Duration kRecentUse = std::chrono::seconds(1);
+/// An attempt without an answer for this long is a failure of the server; ordinary pauses are
+/// shorter.
+constexpr base::Duration kSilenceIsFailure = std::chrono::milliseconds(500);
+/// The weight of one measured connect in the round trip when it rose.
+constexpr int kRoundTripInertia = 8;
+
+} // namespace
+
+Attempt::Attempt(std::shared_ptr<UpstreamServer> aServer,
+                 std::shared_ptr<dispatch::WorkEstimate> aWork,
+                 uint64_t aNumber,
+                 OnEnd aOnEnd)
+  : server(std::move(aServer))
+  , work(std::move(aWork))
+  , number(aNumber)
+  , onEnd(std::move(aOnEnd))
+  , startedAt(base::Now())
+{
+}
+
+void
+Attempt::Cancel()
+{
+  if (this->ended) {
+    return;
+  }
+  this->ended = true;
+  this->onEnd = nullptr;
+  base::Instant now = base::Now();
+  if (now - this->startedAt >= kSilenceIsFailure + this->work->mean * 4) {
+    dispatch::OnFailed(this->server->State(), this->number, now);
+  } else {
+    dispatch::OnAbandoned(this->server->State(), *this->work, this->number, now);
+  }
+  if (this->connection) {
+    this->connection->Close("cancelled");
+  }
+}
+
+void
+Attempt::Detach(base::Duration aGrace)
+{
+  if (this->ended) {
+    return;
+  }
+  this->onEnd = nullptr;
+  this->graceTimer = std::make_unique<Timer>(this->server->options.loop);
+  this->graceTimer->expires_after(aGrace);
+  this->graceTimer->async_wait([self = this->shared_from_this()](ErrorCode aError) {
+    if (!aError) {
+      self->Cancel();
+    }
+  });
+}
+
+void
+Attempt::End(ExchangeResult&& aResult)
+{
+  if (this->ended) {
+    return;
+  }
+  this->ended = true;
+  this->connection.reset();
+  if (this->graceTimer) {
+    this->graceTimer->cancel();
+  }
+  this->Learn(aResult);
+  OnEnd callback = std::move(this->onEnd);
+  this->onEnd = nullptr;
+  if (callback) {
+    callback(std::move(aResult));
+  }
+}
+
+void
+Attempt::Learn(const ExchangeResult& aResult)
+{
+  dispatch::Upstream& state = this->server->State();
+  base::Instant now = base::Now();
+  switch (aResult.end) {
+    case dispatch::AttemptEnd::Answered:
+      dispatch::OnAnswered(state, *this->work, this->number, now);
+      break;
+    case dispatch::AttemptEnd::NotExecuted:
+      dispatch::OnRefused(state, this->number, now);
+      break;
+    case dispatch::AttemptEnd::ServerError:
+    case dispatch::AttemptEnd::NotConnected:
+    case dispatch::AttemptEnd::Lost:
+    case dispatch::AttemptEnd::Unusable:
+      dispatch::OnFailed(state, this->number, now);
+      break;
+  }
+  if (aResult.meta.load) {
+    dispatch::OnLoadReport(state, *aResult.meta.load, now);
+  }
+  if (aResult.misdirected) {
+    telemetry::Log(telemetry::Event::ServerLeaving,
+                   { { "server", this->server->Description().id },
+                     { "why", "its address answers for another server" } });
+    this->server->Retire();
+  }
+}
+
+UpstreamServer::UpstreamServer(Options aOptions)
+  : options(std::move(aOptions))
+{
+  this->state.roundTrip = this->options.assumedRoundTrip;
+  this->state.slots = std::max(1U, this->options.server.slots);
+  this->state.maxInFlight = this->options.maxInFlight;
+  this->state.draining = this->options.server.draining;
+  this->state.coldUntil = base::Now() + this->options.server.coldRemaining;
+}
+
+std::shared_ptr<Attempt>
+UpstreamServer::Send(std::shared_ptr<HttpRequest> aRequest,
+                     const std::string& aRequestId,
+                     std::shared_ptr<dispatch::WorkEstimate> aWork,
+                     Reuse aReuse,
+                     Attempt::OnEnd aOnEnd)
+{
+  base::Instant now = base::Now();
+  uint64_t number = this->nextNumber++;
+  dispatch::OnSent(
+    this->state, number, dispatch::ExpectedLatency(this->state, *aWork, now), now);
+  auto attempt = std::make_shared<Attempt>(
+    this->shared_from_this(), std::move(aWork), number, std::move(aOnEnd));
+  attempt->connection = this->TakeConnection(aReuse, now);
+  attempt->connection->Exchange(
+    std::move(aRequest), aRequestId, [attempt](ExchangeResult&& aResult) {
+      attempt->End(std::move(aResult));
+    });
+  return attempt;
+}
+
+std::shared_ptr<UpstreamConnection>
+UpstreamServer::TakeConnection(Reuse aReuse, base::Instant aNow)
+{
+  while (!this->idle.empty()) {
+    std::shared_ptr<UpstreamConnection> connection = this->idle.back();
+    bool usable = aNow < connection->UsableUntil();
+    bool recent = aNow - connection->IdleSince() < kRecentUse;
+    if (usable && (aReuse == Reuse::AnyConnection || recent)) {
+      this->idle.pop_back();
+      return connection;
+    }
+    if (usable) {
+      break;
+    }
+    connection->Close("kept long enough");
+  }
+  return this->OpenConnection();
+}
+
+std::shared_ptr<UpstreamConnection>
+UpstreamServer::OpenConnection()
+{
+  std::weak_ptr<UpstreamServer> weak = this->weak_from_this();
+  return std::make_shared<UpstreamConnection>(UpstreamConnection::Options{
+    .loop = this->options.loop,
+    .codec = this->options.codec,
+    .endpoint = this->options.endpoint,
+    .connectTimeout = kConnectTimeout,
+    .onIdle =
+      [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
+        auto self = weak.lock();
+        if (!self || self->state.draining) {
+          aConnection->Close("the server is leaving");
+          return;
+        }
+        self->idle.push_back(aConnection);
+      },
+    .onClosed =
+      [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
+        if (auto self = weak.lock()) {
+          std::erase(self->idle, aConnection);
+        }
+      },
+    .onConnected =
+      [weak](base::Duration aTook) {
+        if (auto self = weak.lock()) {
+          self->NoteRoundTrip(aTook);
+        }
+      } });
+}
+
+void
+UpstreamServer::NoteRoundTrip(base::Duration aMeasured)
+{
+  base::Duration& current = this->state.roundTrip;
+  bool lower = !this->roundTripKnown || aMeasured < current;
+  current = lower ? aMeasured : current + (aMeasured - current) / kRoundTripInertia;
+  this->roundTripKnown = true;
+}
+
+void
+UpstreamServer::Retire()
+{
+  this->state.draining = true;
+  std::vector<std::shared_ptr<UpstreamConnection>> closing = this->idle;
+  for (const auto& connection : closing) {
+    connection->Close("the server is leaving");
+  }
+}
+
+void
+UpstreamServer::CloseExpired(base::Instant aNow)
+{
+  std::vector<std::shared_ptr<UpstreamConnection>> kept = this->idle;
+  for (const auto& connection : kept) {
+    if (aNow >= connection->UsableUntil()) {
+      connection->Close("kept long enough");
+    }
+  }
+}
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/World.h
@@ -0,0 +1,47 @@
+/// @file What an instance believes: the configuration in force and the upstreams that exist.
+#pragma once
+
+#include <directory/ServerTable.h>
+#include <engine/ServiceCall.h>
+#include <engine/StoreFollower.h>
+
+namespace sapphirewind::engine {
+
+class World
+{
+public:
+  struct Options
+  {
+    EngineContext& context;
+    StoreCodec codec;
+    std::string storeAddress;
+  };
+
+  explicit World(Options aOptions);
+
+  void Start();
+
+  /// Gives up entries whose grace is over.
+  void KeepHouse(base::Instant aNow);
+
+  /// The configuration in force; null before the first.
+  const std::shared_ptr<const directory::RouteTable>& Routes() const { return this->routes; }
+
+  /// Whether requests can be served: there is a configuration, and servers are known.
+  bool IsUsable() const;
+
+private:
+  std::shared_ptr<StoreFollower> MakeFollower(StoreKind aKind);
+  void OnConfigurations(const std::vector<StoredObject>& aObjects);
+  void OnServerList(const std::vector<StoredObject>& aObjects, uint64_t aRevision);
+  void OnServerChanges(const std::vector<StoredObject>& aObjects);
+  void UpdateFleet();
+
+  Options options;
+  std::shared_ptr<StoreFollower> configurationFollower;
+  std::shared_ptr<StoreFollower> serverFollower;
+  std::shared_ptr<const directory::RouteTable> routes;
+  directory::ServerTable servers;
+};
+
+} // namespace sapphirewind::engine
--- a/libs/telemetry/include/telemetry/Events.h
+++ b/libs/telemetry/include/telemetry/Events.h
@@ -26,12 +26,15 @@
   Stopped = 104,
   StopForced = 105,
   CannotStart = 106,
+  SettingsReloaded = 107,
+  LogLinesDropped = 108,
   ClockJumped = 110,
   ConfigurationInForce = 200,
   ConfigurationRejected = 201,
   ObjectMalformed = 202,
   StoreLost = 210,
   StoreBack = 211,
+  StoreHistoryGone = 212,
   MemberChanged = 300,
   RumourRefuted = 301,
   PeerMessageRefused = 302,
@@ -48,6 +51,10 @@
   RequestCleared = 412,
   SnapshotRestart = 420,
   SnapshotProven = 421,
+  AttemptFailed = 430,
+  RequestEnded = 431,
+  CallerLeft = 432,
+  RequestRejected = 433,
   BookingUnknown = 500,
   ClaimGivenUp = 501,
   ClaimWriteFailed = 502,
@@ -71,9 +78,13 @@
 {
   /// Prefixed to every line.
   std::string instance;
-  /// Empty logs to standard error.
+  /// Empty logs to standard error, "-" to standard output.
   std::string file;
   Level lowest = Level::Info;
+  /// Lines a second that are written; further ones are counted and dropped. 0 writes all.
+  unsigned linesPerSecond = 0;
+  /// Write from a thread of its own; lines are dropped rather than waited for when it falls behind.
+  bool neverBlock = false;
 };
 
 /// Sets logging up; call once, before threads start.
--- /dev/null
+++ b/programs/sapphirewind.cpp
@@ -0,0 +1,100 @@
+/// The instance that serves callers on the users' platform.
+#include <adapter/Adapter.h>
+#include <csignal>
+#include <cstdlib>
+#include <engine/Instance.h>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+#include <telemetry/Events.h>
+
+DEFINE_string(settings,
+              "",
+              "The file with this instance's settings, JSON with comments. Default: the one that "
+              "the platform names in the environment.");
+DEFINE_bool(check, false, "Check the settings and exit.");
+DEFINE_int32(log_lines, 400, "Lines of log a second; further ones are counted and dropped.");
+
+namespace {
+
+using namespace sapphirewind;
+
+constexpr int kExitUsage = 2;
+constexpr int kExitFailed = 1;
+
+std::optional<engine::Settings>
+ReadSettings(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    std::cerr << "sapphirewind: cannot read " << aPath << "\n";
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  document::Problems problems;
+  std::optional<engine::Settings> settings = engine::ParseSettings(text.str(), problems);
+  for (const document::Problem& problem : problems) {
+    std::cerr << aPath << ": " << document::Describe(problem) << "\n";
+  }
+  return settings;
+}
+
+std::string
+SettingsPath()
+{
+  if (!FLAGS_settings.empty()) {
+    return FLAGS_settings;
+  }
+  const char* path = std::getenv(adapter::kSettingsVariable);
+  return path == nullptr ? "" : path;
+}
+
+int
+Run(const engine::Settings& aSettings)
+{
+  engine::Instance instance({ .settings = aSettings,
+                              .wire = adapter::MakeWireCodec(),
+                              .store = adapter::MakeStoreCodec() });
+  if (std::error_code error = instance.Start()) {
+    telemetry::Log(telemetry::Event::CannotStart,
+                   { { "listen", aSettings.callerAddress }, { "why", error.message() } });
+    telemetry::FlushLog();
+    return kExitFailed;
+  }
+  instance.Run();
+  telemetry::Log(telemetry::Event::Stopped, {});
+  telemetry::FlushLog();
+  return 0;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::SetUsageMessage("serves callers on the platform\n\n  sapphirewind [--settings FILE]");
+  gflags::SetVersionString(SAPPHIREWIND_VERSION);
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  std::string path = SettingsPath();
+  if (path.empty()) {
+    std::cerr << "sapphirewind: --settings FILE is needed; see --help\n";
+    return kExitUsage;
+  }
+  std::optional<engine::Settings> settings = ReadSettings(path);
+  if (!settings) {
+    return kExitUsage;
+  }
+  if (FLAGS_check) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  telemetry::OpenLog(
+    telemetry::LogOptions{ .instance = settings->instance,
+                           .file = "-",
+                           .linesPerSecond = static_cast<unsigned>(FLAGS_log_lines),
+                           .neverBlock = true });
+  return Run(*settings);
+}
