Learn each server's share of failures, count instances, and wait longer in watches

Ruled out: processor time (0.025 of 0.25 core). Instances now register in the store, so that shares of connections and second sends follow their number.

--- a/libs/dispatch/include/dispatch/Upstream.h
+++ b/libs/dispatch/include/dispatch/Upstream.h
@@ -49,6 +49,9 @@
   /// Requests running and waiting there by its own word, and when it said so.
   unsigned reportedWork = 0;
   base::Instant reportedAt{};
+  /// The share of recent requests that it refused or failed.
+  double failureShare = 0.0;
+  base::Instant failureShareAt{};
   unsigned failuresInRow = 0;
   base::Instant ejectedUntil{};
 };
@@ -66,6 +69,9 @@
 /// Learnt slowness halves its distance from 1 in this time without answers, so that a server which
 /// recovered is found out.
 constexpr base::Duration kSlownessHalfLife = std::chrono::seconds(3);
+/// What a failed attempt costs a request, in time: it is noticed, and sent elsewhere out of a
+/// budget that others need as well.
+constexpr base::Duration kFailureCost = std::chrono::milliseconds(150);
 /// A reported load says nothing after this time: a few service times.
 constexpr base::Duration kLoadReportLifetime = std::chrono::milliseconds(100);
 /// The first ejection lasts this long, each further one twice as long up to the longest.
@@ -74,7 +80,7 @@
 /// How much slower a server is that has just started, as the platform's servers are.
 constexpr double kColdSlowness = 1.6;
 
-/// The latency to expect of a request that is sent now.
+/// The latency to expect of a request that is sent now, if it is answered.
 base::Duration
 ExpectedLatency(const Upstream& aUpstream, const WorkEstimate& aWork, base::Instant aNow);
 
--- a/libs/dispatch/src/Upstream.cpp
+++ b/libs/dispatch/src/Upstream.cpp
@@ -19,6 +19,8 @@
 /// A request is overdue after this many times its expected latency and a little scheduling time.
 constexpr int kOverdueFactor = 2;
 constexpr base::Duration kOverdueSlack = std::chrono::milliseconds(10);
+/// The weight of one attempt in the share of failures.
+constexpr double kFailureWeight = 0.1;
 /// Equal servers share the work because each comparison is blurred by up to this part.
 constexpr double kBlur = 0.1;
 constexpr unsigned kFailuresToEject = 2;
@@ -29,12 +31,19 @@
   return base::Duration(static_cast<int64_t>(static_cast<double>(aDuration.count()) * aFactor));
 }
 
+/// The part that is left of what was learnt at a time.
 double
-SlownessNow(const Upstream& aUpstream, base::Instant aNow)
+Remaining(base::Instant aLearntAt, base::Instant aNow)
 {
-  double halfLives = static_cast<double>((aNow - aUpstream.slownessAt).count()) /
+  double halfLives = static_cast<double>((aNow - aLearntAt).count()) /
                      static_cast<double>(kSlownessHalfLife.count());
-  double learnt = 1.0 + (aUpstream.slowness - 1.0) * std::exp2(-std::max(0.0, halfLives));
+  return std::exp2(-std::max(0.0, halfLives));
+}
+
+double
+SlownessNow(const Upstream& aUpstream, base::Instant aNow)
+{
+  double learnt = 1.0 + (aUpstream.slowness - 1.0) * Remaining(aUpstream.slownessAt, aNow);
   return aNow < aUpstream.coldUntil ? std::max(learnt, kColdSlowness) : learnt;
 }
 
@@ -60,6 +69,28 @@
   aUpstream.slownessAt = aNow;
 }
 
+double
+FailureShareNow(const Upstream& aUpstream, base::Instant aNow)
+{
+  return aUpstream.failureShare * Remaining(aUpstream.failureShareAt, aNow);
+}
+
+void
+LearnFailure(Upstream& aUpstream, bool aFailed, base::Instant aNow)
+{
+  double share = FailureShareNow(aUpstream, aNow);
+  aUpstream.failureShare = share + kFailureWeight * ((aFailed ? 1.0 : 0.0) - share);
+  aUpstream.failureShareAt = aNow;
+}
+
+/// What sending there costs: the latency to expect, and the risk of having to send again.
+base::Duration
+ExpectedCost(const Upstream& aUpstream, const WorkEstimate& aWork, base::Instant aNow)
+{
+  return ExpectedLatency(aUpstream, aWork, aNow) +
+         Scale(kFailureCost, FailureShareNow(aUpstream, aNow));
+}
+
 void
 LearnWork(WorkEstimate& aWork, base::Duration aService)
 {
@@ -129,7 +160,7 @@
     }
     bool ejected = IsEjected(upstream, aNow);
     double blur = 1.0 + kBlur * base::UniformUnit(aRandom);
-    double cost = static_cast<double>(ExpectedLatency(upstream, aWork, aNow).count()) * blur;
+    double cost = static_cast<double>(ExpectedCost(upstream, aWork, aNow).count()) * blur;
     bool better = !best || (bestEjected && !ejected) || (bestEjected == ejected && cost < bestCost);
     if (better) {
       best = index;
@@ -155,6 +186,7 @@
     return;
   }
   aUpstream.failuresInRow = 0;
+  LearnFailure(aUpstream, false, aNow);
   base::Duration service =
     std::max<base::Duration>(aNow - request->sentAt - aUpstream.roundTrip, base::Duration(100));
   double usual = static_cast<double>(aWork.mean.count());
@@ -168,6 +200,7 @@
 OnRefused(Upstream& aUpstream, uint64_t aRequest, base::Instant aNow)
 {
   Take(aUpstream, aRequest);
+  LearnFailure(aUpstream, true, aNow);
   // A refusal means a full queue: count it as such until the server reports otherwise.
   aUpstream.reportedWork = std::max(aUpstream.reportedWork, aUpstream.slots * 4);
   aUpstream.reportedAt = aNow;
@@ -192,6 +225,7 @@
 OnFailed(Upstream& aUpstream, uint64_t aRequest, base::Instant aNow)
 {
   Take(aUpstream, aRequest);
+  LearnFailure(aUpstream, true, aNow);
   ++aUpstream.failuresInRow;
   if (aUpstream.failuresInRow < kFailuresToEject) {
     return;
--- a/libs/engine/include/engine/Settings.h
+++ b/libs/engine/include/engine/Settings.h
@@ -26,6 +26,9 @@
   /// instances together.
   double extraShare = 0.2;
   double extraMinimum = 0.0;
+  /// How long a watch at the store may wait. A connection that fell silent is noticed a little
+  /// later, which must be well before a server that leaves may get no more requests.
+  base::Duration watchWait = std::chrono::seconds(2);
   /// From the request to stop to the forced end.
   base::Duration stopWithin = std::chrono::seconds(6);
 
--- a/libs/engine/include/engine/StoreFollower.h
+++ b/libs/engine/include/engine/StoreFollower.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include <base/Random.h>
-#include <engine/Metrics.h>
+#include <engine/StoreConnection.h>
 #include <engine/Wire.h>
 #include <functional>
 
@@ -19,10 +19,10 @@
     Loop& loop;
     const StoreCodec& codec;
     StoreKind kind = StoreKind::Configuration;
-    Tcp::endpoint endpoint;
-    std::string host;
+    StoreConnection::Options connection;
     base::Random& random;
-    Metrics& metrics;
+    /// How long a watch may wait for a change.
+    base::Duration watchWait{ 0 };
     /// A whole list, with the store's revision that it reflects.
     std::function<void(const std::vector<StoredObject>&, uint64_t)> onList;
     /// Changes, in order.
@@ -39,30 +39,17 @@
   void Stop();
 
 private:
-  using Parser = http::response_parser<http::string_body>;
-
   void Call();
-  void ListFrom(const std::string& aAfter);
-  void Send(const std::string& aTarget, base::Duration aTimeout);
-  void SendOnConnection(const std::string& aTarget, uint64_t aCall);
-  void OnAnswer(const HttpResponse& aResponse);
+  void OnAnswer(StoreAnswer&& aAnswer);
   void OnListPage(const HttpResponse& aResponse);
   void OnChanges(const HttpResponse& aResponse);
   void Fail(const char* aCause);
   void Succeed();
   void CallAfter(base::Duration aDelay);
-  void Disconnect();
 
   Options options;
-  Tcp::socket socket;
-  Timer callTimer;
+  std::shared_ptr<StoreConnection> connection;
   Timer pauseTimer;
-  boost::beast::flat_buffer buffer;
-  std::shared_ptr<http::request<http::empty_body>> request;
-  std::optional<Parser> parser;
-  /// Increases with each call, so that what belongs to an earlier one is known as such.
-  uint64_t call = 0;
-  bool connected = false;
   bool listing = true;
   bool lost = false;
   bool stopped = false;
--- a/libs/engine/include/engine/Wire.h
+++ b/libs/engine/include/engine/Wire.h
@@ -83,6 +83,15 @@
   Servers
 };
 
+/// One instance's own entry in the store.
+struct RegisteredInstance
+{
+  std::string name;
+  uint64_t revision = 0;
+
+  auto operator<=>(const RegisteredInstance&) const = default;
+};
+
 /// Writes the targets of calls to the store and reads its answers. Empty when malformed.
 struct StoreCodec
 {
@@ -90,6 +99,14 @@
   std::string (*watchTarget)(StoreKind, uint64_t aRevision, base::Duration aWait) = nullptr;
   std::optional<StorePage> (*readList)(StoreKind, const std::string& aBody) = nullptr;
   std::optional<StorePage> (*readChanges)(StoreKind, const std::string& aBody) = nullptr;
+  /// All instances' entries, possibly seconds old.
+  std::string (*instancesTarget)() = nullptr;
+  /// One instance's entry; without a name the place to create one.
+  std::string (*instanceTarget)(const std::string& aName) = nullptr;
+  /// An entry that differs from the one with another beat.
+  std::string (*writeInstance)(const std::string& aName, uint64_t aBeat) = nullptr;
+  std::optional<std::vector<RegisteredInstance>> (*readInstances)(const std::string& aBody) =
+    nullptr;
 };
 
 } // namespace sapphirewind::engine
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -45,7 +45,9 @@
                .metrics = this->metrics }
     , world(World::Options{ .context = this->context,
                             .codec = aOptions.store,
-                            .storeAddress = this->settings.storeAddress })
+                            .storeAddress = this->settings.storeAddress,
+                            .instance = this->settings.instance,
+                            .watchWait = this->settings.watchWait })
     , ingress(Ingress::Options{ .context = this->context,
                                 .world = this->world,
                                 .endpoint = *ParseEndpoint(this->settings.callerAddress),
--- /dev/null
+++ b/libs/engine/src/Registry.cpp
@@ -0,0 +1,163 @@
+#include "Registry.h"
+
+#include <telemetry/Events.h>
+
+namespace sapphirewind::engine {
+
+namespace {
+
+/// The store answers in milliseconds; a beat that is lost is made up for by the next.
+constexpr base::Duration kCallTimeout = std::chrono::milliseconds(1000);
+/// The pause after a failed call.
+constexpr base::Duration kRetry = std::chrono::milliseconds(1000);
+
+} // namespace
+
+Registry::Registry(Options aOptions)
+  : options(std::move(aOptions))
+  , connection(std::make_shared<StoreConnection>(this->options.connection))
+  , timer(this->options.loop)
+  , beat(static_cast<uint64_t>(base::WallClockMillis()))
+{
+}
+
+void
+Registry::Start()
+{
+  this->Beat();
+}
+
+void
+Registry::Make(StoreConnection::Call aCall, void (Registry::*aNext)(StoreAnswer&&))
+{
+  aCall.timeout = kCallTimeout;
+  this->connection->Make(std::move(aCall),
+                         [self = this->shared_from_this(), aNext](StoreAnswer&& aAnswer) {
+                           ((*self).*aNext)(std::move(aAnswer));
+                         });
+}
+
+void
+Registry::Beat()
+{
+  ++this->beat;
+  this->Make({ .method = http::verb::put,
+               .target = this->options.codec.instanceTarget(this->options.instance),
+               .body = this->options.codec.writeInstance(this->options.instance, this->beat) },
+             &Registry::OnBeaten);
+}
+
+void
+Registry::OnBeaten(StoreAnswer&& aAnswer)
+{
+  bool missing = aAnswer.response && aAnswer.response->result() == http::status::not_found;
+  if (missing) {
+    this->Create();
+    return;
+  }
+  if (!aAnswer.response || aAnswer.response->result_int() >= 300) {
+    this->Fail("beat", aAnswer);
+    return;
+  }
+  this->List();
+}
+
+void
+Registry::Create()
+{
+  this->Make({ .method = http::verb::post,
+               .target = this->options.codec.instanceTarget(""),
+               .body = this->options.codec.writeInstance(this->options.instance, this->beat) },
+             &Registry::OnCreated);
+}
+
+void
+Registry::OnCreated(StoreAnswer&& aAnswer)
+{
+  if (!aAnswer.response || aAnswer.response->result_int() >= 300) {
+    this->Fail("create", aAnswer);
+    return;
+  }
+  this->List();
+}
+
+void
+Registry::List()
+{
+  this->Make({ .target = this->options.codec.instancesTarget() }, &Registry::OnListed);
+}
+
+void
+Registry::OnListed(StoreAnswer&& aAnswer)
+{
+  if (!aAnswer.response || aAnswer.response->result() != http::status::ok) {
+    this->Fail("list", aAnswer);
+    return;
+  }
+  this->OnList(*aAnswer.response);
+}
+
+void
+Registry::OnList(const HttpResponse& aResponse)
+{
+  auto instances = this->options.codec.readInstances(aResponse.body());
+  if (!instances) {
+    this->Fail("list", StoreAnswer{ .cause = "malformed" });
+    return;
+  }
+  base::Instant now = base::Now();
+  for (const RegisteredInstance& instance : *instances) {
+    directory::Observe(this->census, instance.name, instance.revision, now);
+  }
+  this->options.onCount(directory::CountLive(this->census, now));
+  this->expired = directory::TakeExpired(this->census, now);
+  this->RemoveExpired();
+}
+
+void
+Registry::RemoveExpired()
+{
+  if (this->expired.empty()) {
+    this->BeatAfter(directory::kBeatInterval);
+    return;
+  }
+  std::string name = this->expired.back();
+  this->expired.pop_back();
+  this->Make({ .method = http::verb::delete_, .target = this->options.codec.instanceTarget(name) },
+             &Registry::OnRemoved);
+}
+
+void
+Registry::OnRemoved(StoreAnswer&& aAnswer)
+{
+  if (!aAnswer.response) {
+    this->Fail("remove", aAnswer);
+    return;
+  }
+  // Another instance may have removed it first, which is as good.
+  this->RemoveExpired();
+}
+
+void
+Registry::Fail(const char* aWhat, const StoreAnswer& aAnswer)
+{
+  std::string status =
+    aAnswer.response ? std::to_string(aAnswer.response->result_int()) : aAnswer.cause;
+  telemetry::Log(telemetry::Event::RegistrationFailed, { { "call", aWhat }, { "why", status } });
+  this->BeatAfter(kRetry);
+}
+
+void
+Registry::BeatAfter(base::Duration aDelay)
+{
+  double jitter = 0.75 + 0.5 * base::UniformUnit(this->options.random);
+  this->timer.expires_after(
+    base::FromFractionalMillis(base::ToFractionalMillis(aDelay) * jitter));
+  this->timer.async_wait([self = this->shared_from_this()](ErrorCode aError) {
+    if (!aError) {
+      self->Beat();
+    }
+  });
+}
+
+} // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/src/Registry.h
@@ -0,0 +1,50 @@
+/// @file Registers this instance in the store and counts the others.
+#pragma once
+
+#include <directory/Census.h>
+#include <engine/ServiceCall.h>
+#include <engine/StoreConnection.h>
+
+namespace sapphirewind::engine {
+
+class Registry : public std::enable_shared_from_this<Registry>
+{
+public:
+  struct Options
+  {
+    Loop& loop;
+    const StoreCodec& codec;
+    StoreConnection::Options connection;
+    std::string instance;
+    base::Random& random;
+    /// Told after each count.
+    std::function<void(size_t)> onCount;
+  };
+
+  explicit Registry(Options aOptions);
+
+  void Start();
+
+private:
+  void Beat();
+  void Create();
+  void List();
+  void OnList(const HttpResponse& aResponse);
+  void RemoveExpired();
+  void BeatAfter(base::Duration aDelay);
+  void Fail(const char* aWhat, const StoreAnswer& aAnswer);
+  void Make(StoreConnection::Call aCall, void (Registry::*aNext)(StoreAnswer&&));
+  void OnBeaten(StoreAnswer&& aAnswer);
+  void OnCreated(StoreAnswer&& aAnswer);
+  void OnListed(StoreAnswer&& aAnswer);
+  void OnRemoved(StoreAnswer&& aAnswer);
+
+  Options options;
+  std::shared_ptr<StoreConnection> connection;
+  Timer timer;
+  directory::Census census;
+  std::vector<std::string> expired;
+  uint64_t beat = 0;
+};
+
+} // namespace sapphirewind::engine
--- a/libs/engine/src/Settings.cpp
+++ b/libs/engine/src/Settings.cpp
@@ -1,11 +1,17 @@
 #include <engine/Settings.h>
 
+#include <algorithm>
 #include <engine/Asio.h>
 
 namespace sapphirewind::engine {
 
 namespace {
 
+/// A silent connection to the store is noticed, and the store listed anew, this long before the
+/// platform holds the instance to its bounds again.
+constexpr base::Duration kSilenceMargin = std::chrono::milliseconds(1500);
+constexpr base::Duration kLeastWatchWait = std::chrono::milliseconds(1000);
+
 std::string
 ReadAddress(document::ObjectReader& aReader, const char* aName)
 {
@@ -53,6 +59,8 @@
   settings.storeAddress = ReadAddress(reader, "store");
   settings.maxDescriptors =
     static_cast<unsigned>(reader.RequiredInteger("max_descriptors", 64, kMostDescriptors));
+  base::Duration stability = reader.RequiredDuration("stability_window");
+  settings.watchWait = std::max<base::Duration>(kLeastWatchWait, stability - kSilenceMargin);
   settings.stopWithin = reader.RequiredDuration("stop_within");
   if (const Json::Value* regions = reader.RequiredObject("regions")) {
     for (const std::string& zone : regions->getMemberNames()) {
--- /dev/null
+++ b/libs/engine/src/StoreConnection.cpp
@@ -0,0 +1,140 @@
+#include <engine/StoreConnection.h>
+
+#include <cassert>
+
+namespace sapphirewind::engine {
+
+namespace {
+
+/// A page holds about 1 MB, a configuration at most as much.
+constexpr uint64_t kMostAnswerBytes = 16 * 1024 * 1024;
+
+} // namespace
+
+StoreConnection::StoreConnection(Options aOptions)
+  : options(std::move(aOptions))
+  , timer(this->options.loop)
+{
+}
+
+void
+StoreConnection::Make(Call aCall, OnAnswer aOnAnswer)
+{
+  assert(!this->onAnswer && "one call at a time");
+  this->onAnswer = std::move(aOnAnswer);
+  this->options.metrics.Count(Counter::StoreCall);
+  uint64_t current = ++this->number;
+  auto exchange = std::make_shared<Exchange>();
+  exchange->request = HttpRequest(aCall.method, aCall.target, 11);
+  exchange->request.set(http::field::host, this->options.host);
+  exchange->request.body() = std::move(aCall.body);
+  if (!exchange->request.body().empty()) {
+    exchange->request.set(http::field::content_type, "application/json");
+  }
+  exchange->request.prepare_payload();
+  exchange->parser.body_limit(kMostAnswerBytes);
+  auto self = this->shared_from_this();
+  this->timer.expires_after(aCall.timeout);
+  this->timer.async_wait([self, current](ErrorCode aError) {
+    if (!aError) {
+      self->Fail(current, "timeout");
+    }
+  });
+  if (this->connected) {
+    this->Send(exchange, current);
+    return;
+  }
+  this->socket = std::make_shared<Tcp::socket>(this->options.loop);
+  this->socket->async_connect(
+    this->options.endpoint,
+    [self, current, exchange, kept = this->socket](ErrorCode aError) {
+      if (aError) {
+        self->Fail(current, "cannot connect");
+        return;
+      }
+      if (current != self->number) {
+        return;
+      }
+      ErrorCode ignored; // Without the option the connection works, only slower.
+      kept->set_option(Tcp::no_delay(true), ignored);
+      self->connected = true;
+      self->Send(exchange, current);
+    });
+}
+
+void
+StoreConnection::Send(const std::shared_ptr<Exchange>& aExchange, uint64_t aNumber)
+{
+  auto self = this->shared_from_this();
+  http::async_write(
+    *this->socket,
+    aExchange->request,
+    [self, aExchange, aNumber, kept = this->socket](ErrorCode aError, size_t) {
+      if (aError) {
+        self->Fail(aNumber, "write failed");
+        return;
+      }
+      http::async_read(
+        *kept,
+        aExchange->buffer,
+        aExchange->parser,
+        [self, aExchange, aNumber, kept](ErrorCode aReadError, size_t) {
+          if (aReadError) {
+            self->Fail(aNumber, "no whole answer");
+            return;
+          }
+          self->Finish(aNumber, aExchange->parser.release());
+        });
+    });
+}
+
+void
+StoreConnection::Fail(uint64_t aNumber, const char* aCause)
+{
+  if (aNumber != this->number) {
+    return;
+  }
+  ++this->number;
+  this->options.metrics.Count(Counter::StoreCallFailed);
+  this->Disconnect();
+  OnAnswer callback = std::move(this->onAnswer);
+  this->onAnswer = nullptr;
+  callback(StoreAnswer{ .cause = aCause });
+}
+
+void
+StoreConnection::Finish(uint64_t aNumber, HttpResponse&& aResponse)
+{
+  if (aNumber != this->number) {
+    return;
+  }
+  ++this->number;
+  this->timer.cancel();
+  if (!aResponse.keep_alive()) {
+    this->Disconnect();
+  }
+  OnAnswer callback = std::move(this->onAnswer);
+  this->onAnswer = nullptr;
+  callback(StoreAnswer{ .response = std::move(aResponse) });
+}
+
+void
+StoreConnection::Stop()
+{
+  ++this->number;
+  this->onAnswer = nullptr;
+  this->Disconnect();
+}
+
+void
+StoreConnection::Disconnect()
+{
+  this->connected = false;
+  this->timer.cancel();
+  if (this->socket) {
+    ErrorCode ignored; // The connection is of no use either way.
+    this->socket->close(ignored);
+  }
+}
+
+} // namespace sapphirewind::engine
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -7,24 +7,20 @@
 
 namespace {
 
-/// A call that is not a watch; the store answers in milliseconds and slowly in a few hundred.
-constexpr base::Duration kCallTimeout = std::chrono::milliseconds(1000);
-/// How long a watch may wait. Short against the few seconds within which a leaving server must get
-/// no more requests, so that a silent connection is noticed in time.
-constexpr base::Duration kWatchWait = std::chrono::milliseconds(2000);
+/// What a call may take beyond its own wait; the store answers in milliseconds, and within a few
+/// hundred when it is slow.
+constexpr base::Duration kCallTimeout = std::chrono::milliseconds(800);
 /// Changes that come in quick succession are taken in together after this pause.
-constexpr base::Duration kWatchPause = std::chrono::milliseconds(60);
+constexpr base::Duration kWatchPause = std::chrono::milliseconds(200);
 /// The pause after a failed call, doubled with each further one up to the longest, with jitter.
 constexpr base::Duration kFirstRetry = std::chrono::milliseconds(100);
 constexpr base::Duration kLongestRetry = std::chrono::milliseconds(400);
-constexpr uint64_t kMostAnswerBytes = 16 * 1024 * 1024;
 
 } // namespace
 
 StoreFollower::StoreFollower(Options aOptions)
   : options(std::move(aOptions))
-  , socket(this->options.loop)
-  , callTimer(this->options.loop)
+  , connection(std::make_shared<StoreConnection>(this->options.connection))
   , pauseTimer(this->options.loop)
 {
 }
@@ -39,95 +35,36 @@
 StoreFollower::Stop()
 {
   this->stopped = true;
-  ++this->call;
-  this->callTimer.cancel();
   this->pauseTimer.cancel();
-  this->Disconnect();
+  this->connection->Stop();
 }
 
 void
 StoreFollower::Call()
 {
+  StoreConnection::Call call{ .timeout = kCallTimeout };
   if (this->listing) {
-    this->Send(this->options.codec.listTarget(this->options.kind, this->listAfter), kCallTimeout);
-    return;
+    call.target = this->options.codec.listTarget(this->options.kind, this->listAfter);
+  } else {
+    call.target = this->options.codec.watchTarget(
+      this->options.kind, this->revision, this->options.watchWait);
+    call.timeout += this->options.watchWait;
   }
-  this->Send(this->options.codec.watchTarget(this->options.kind, this->revision, kWatchWait),
-             kWatchWait + kCallTimeout);
+  this->connection->Make(std::move(call),
+                         [self = this->shared_from_this()](StoreAnswer&& aAnswer) {
+                           self->OnAnswer(std::move(aAnswer));
+                         });
 }
 
 void
-StoreFollower::Send(const std::string& aTarget, base::Duration aTimeout)
+StoreFollower::OnAnswer(StoreAnswer&& aAnswer)
 {
-  uint64_t number = ++this->call;
-  this->options.metrics.Count(Counter::StoreCall);
-  auto self = this->shared_from_this();
-  this->callTimer.expires_after(aTimeout);
-  this->callTimer.async_wait([self, number](ErrorCode aError) {
-    if (!aError && number == self->call) {
-      self->Fail("timeout");
-    }
-  });
-  if (this->connected) {
-    this->SendOnConnection(aTarget, number);
+  if (!aAnswer.response) {
+    this->Fail(aAnswer.cause);
     return;
   }
-  this->socket = Tcp::socket(this->options.loop);
-  this->socket.async_connect(this->options.endpoint, [self, number, aTarget](ErrorCode aError) {
-    if (number != self->call) {
-      return;
-    }
-    if (aError) {
-      self->Fail("cannot connect");
-      return;
-    }
-    ErrorCode ignored; // Without the option the connection works, only slower.
-    self->socket.set_option(Tcp::no_delay(true), ignored);
-    self->connected = true;
-    self->SendOnConnection(aTarget, number);
-  });
-}
-
-void
-StoreFollower::SendOnConnection(const std::string& aTarget, uint64_t aCall)
-{
-  auto self = this->shared_from_this();
-  this->request =
-    std::make_shared<http::request<http::empty_body>>(http::verb::get, aTarget, 11);
-  this->request->set(http::field::host, this->options.host);
-  this->parser.emplace();
-  this->parser->body_limit(kMostAnswerBytes);
-  http::async_write(
-    this->socket, *this->request, [self, aCall, sent = this->request](ErrorCode aError, size_t) {
-      if (aCall != self->call) {
-        return;
-      }
-      if (aError) {
-        self->Fail("write failed");
-        return;
-      }
-      http::async_read(
-        self->socket, self->buffer, *self->parser, [self, aCall](ErrorCode aReadError, size_t) {
-          if (aCall != self->call) {
-            return;
-          }
-          if (aReadError) {
-            self->Fail("no whole answer");
-            return;
-          }
-          self->OnAnswer(self->parser->release());
-        });
-    });
-}
-
-void
-StoreFollower::OnAnswer(const HttpResponse& aResponse)
-{
-  this->callTimer.cancel();
-  if (!aResponse.keep_alive()) {
-    this->Disconnect();
-  }
-  if (aResponse.result() == http::status::gone && !this->listing) {
+  const HttpResponse& response = *aAnswer.response;
+  if (response.result() == http::status::gone && !this->listing) {
     telemetry::Log(telemetry::Event::StoreHistoryGone,
                    { { "kind", std::to_string(static_cast<int>(this->options.kind)) },
                      { "revision", std::to_string(this->revision) } });
@@ -136,14 +73,14 @@
     this->CallAfter(base::Duration(0));
     return;
   }
-  if (aResponse.result() != http::status::ok) {
+  if (response.result() != http::status::ok) {
     this->Fail("refused");
     return;
   }
   if (this->listing) {
-    this->OnListPage(aResponse);
+    this->OnListPage(response);
   } else {
-    this->OnChanges(aResponse);
+    this->OnChanges(response);
   }
 }
 
@@ -195,10 +132,6 @@
 void
 StoreFollower::Fail(const char* aCause)
 {
-  ++this->call;
-  this->callTimer.cancel();
-  this->options.metrics.Count(Counter::StoreCallFailed);
-  this->Disconnect();
   this->listAfter.clear();
   ++this->failuresInRow;
   if (!this->lost) {
@@ -232,13 +165,4 @@
   });
 }
 
-void
-StoreFollower::Disconnect()
-{
-  this->connected = false;
-  this->buffer.consume(this->buffer.size());
-  ErrorCode ignored; // The connection is of no use either way.
-  this->socket.close(ignored);
-}
-
 } // namespace sapphirewind::engine
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -27,6 +27,14 @@
 {
   this->configurationFollower = this->MakeFollower(StoreKind::Configuration);
   this->serverFollower = this->MakeFollower(StoreKind::Servers);
+  this->registry = std::make_shared<Registry>(
+    Registry::Options{ .loop = this->options.context.loop,
+                       .codec = this->options.codec,
+                       .connection = this->ConnectionOptions(),
+                       .instance = this->options.instance,
+                       .random = this->options.context.random,
+                       .onCount = [this](size_t aCount) { this->OnInstancesCounted(aCount); } });
+  this->registry->Start();
   this->configurationFollower->Start();
   this->serverFollower->Start();
 }
@@ -39,10 +47,9 @@
     .loop = this->options.context.loop,
     .codec = this->options.codec,
     .kind = aKind,
-    .endpoint = *ParseEndpoint(this->options.storeAddress),
-    .host = this->options.storeAddress,
+    .connection = this->ConnectionOptions(),
     .random = this->options.context.random,
-    .metrics = this->options.context.metrics,
+    .watchWait = this->options.watchWait,
     .onList =
       [this, followsServers](const std::vector<StoredObject>& aObjects, uint64_t aRevision) {
         if (followsServers) {
@@ -155,6 +162,28 @@
   return this->routes != nullptr && !this->servers.entries.empty();
 }
 
+StoreConnection::Options
+World::ConnectionOptions() const
+{
+  return StoreConnection::Options{ .loop = this->options.context.loop,
+                                   .endpoint = *ParseEndpoint(this->options.storeAddress),
+                                   .host = this->options.storeAddress,
+                                   .metrics = this->options.context.metrics };
+}
+
+void
+World::OnInstancesCounted(size_t aInstances)
+{
+  if (aInstances == this->instances) {
+    return;
+  }
+  this->instances = aInstances;
+  telemetry::Log(telemetry::Event::InstancesCounted,
+                 { { "instances", std::to_string(aInstances) } });
+  this->options.context.fleet.SetInstances(aInstances);
+  this->UpdateFleet();
+}
+
 void
 World::UpdateFleet()
 {
--- a/libs/engine/src/World.h
+++ b/libs/engine/src/World.h
@@ -5,6 +5,8 @@
 #include <engine/ServiceCall.h>
 #include <engine/StoreFollower.h>
 
+#include "Registry.h"
+
 namespace sapphirewind::engine {
 
 class World
@@ -15,6 +17,9 @@
     EngineContext& context;
     StoreCodec codec;
     std::string storeAddress;
+    std::string instance;
+    /// How long a watch may wait for a change.
+    base::Duration watchWait{ 0 };
   };
 
   explicit World(Options aOptions);
@@ -35,11 +40,15 @@
   void OnConfigurations(const std::vector<StoredObject>& aObjects);
   void OnServerList(const std::vector<StoredObject>& aObjects, uint64_t aRevision);
   void OnServerChanges(const std::vector<StoredObject>& aObjects);
+  void OnInstancesCounted(size_t aInstances);
   void UpdateFleet();
+  StoreConnection::Options ConnectionOptions() const;
 
   Options options;
   std::shared_ptr<StoreFollower> configurationFollower;
   std::shared_ptr<StoreFollower> serverFollower;
+  std::shared_ptr<Registry> registry;
+  size_t instances = 0;
   std::shared_ptr<const directory::RouteTable> routes;
   directory::ServerTable servers;
 };
--- a/libs/telemetry/include/telemetry/Events.h
+++ b/libs/telemetry/include/telemetry/Events.h
@@ -35,6 +35,8 @@
   StoreLost = 210,
   StoreBack = 211,
   StoreHistoryGone = 212,
+  RegistrationFailed = 213,
+  InstancesCounted = 214,
   MemberChanged = 300,
   RumourRefuted = 301,
   PeerMessageRefused = 302,
--- a/libs/telemetry/src/Events.cpp
+++ b/libs/telemetry/src/Events.cpp
@@ -137,6 +137,8 @@
     { Event::StoreLost, Level::Warning, "StoreLost" },
     { Event::StoreBack, Level::Info, "StoreBack" },
     { Event::StoreHistoryGone, Level::Info, "StoreHistoryGone" },
+    { Event::RegistrationFailed, Level::Warning, "RegistrationFailed" },
+    { Event::InstancesCounted, Level::Info, "InstancesCounted" },
     { Event::MemberChanged, Level::Info, "MemberChanged" },
     { Event::RumourRefuted, Level::Info, "RumourRefuted" },
     { Event::PeerMessageRefused, Level::Warning, "PeerMessageRefused" },
