--- a/libs/engine/include/engine/ClientSession.h
+++ b/libs/engine/include/engine/ClientSession.h
@@ -14,6 +14,8 @@
 
   /// The configuration in force; null before the first.
   virtual std::shared_ptr<const directory::RouteTable> Routes() const = 0;
+  /// Whether requests can be served; until then they wait a little.
+  virtual bool IsUsable() const = 0;
   virtual directory::CallerLimits Limits() const = 0;
   virtual bool IsDraining() const = 0;
   virtual EngineContext& Context() = 0;
@@ -27,6 +29,9 @@
 
   void Start();
 
+  /// There is a configuration now: serves the request that waits for one.
+  void OnConfiguration();
+
   /// Closes the connection unless a request is being read or served.
   void CloseIfIdle();
 
@@ -36,6 +41,7 @@
   enum class State
   {
     Reading,
+    Waiting, ///< A request is there, and no configuration yet.
     Serving,
     Writing,
     Lingering, ///< The last answer is out; bytes still coming in are thrown away.
@@ -49,6 +55,7 @@
   void ContinueIfExpected();
   void RejectMalformed(ErrorCode aError);
   void Dispatch();
+  void Route(const std::shared_ptr<HttpRequest>& aRequest);
   void StartRun(std::shared_ptr<const HttpRequest> aRequest,
                 std::shared_ptr<const directory::RouteTable> aRoutes,
                 const directory::Route& aRoute);
@@ -66,6 +73,7 @@
   State state = State::Reading;
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
+  std::shared_ptr<HttpRequest> waiting;
   std::shared_ptr<RequestRun> run;
   std::shared_ptr<HttpResponse> response;
   base::Instant requestStartedAt{};
--- a/libs/engine/src/ClientSession.cpp
+++ b/libs/engine/src/ClientSession.cpp
@@ -19,7 +19,13 @@
 constexpr base::Duration kWriteTimeout = std::chrono::seconds(10);
 /// How long a caller waits that does not say so: no longer than the route's timeout anyway.
 constexpr base::Duration kDefaultPatience = std::chrono::seconds(60);
-/// When a caller is told to come back while there is no configuration yet.
+/// How long a request waits for the first configuration: an instance that has just started has it
+/// within a few calls to the store, which may be away for a moment after a common fault.
+constexpr base::Duration kConfigurationWait = std::chrono::milliseconds(1000);
+/// The part of its caller's patience that a request waits for it at the most, so that the caller
+/// can still be served elsewhere.
+constexpr int kConfigurationWaitPart = 4;
+/// When a caller is told to come back that waited in vain.
 constexpr base::Duration kRetryWithoutConfiguration = std::chrono::milliseconds(300);
 
 http::status
@@ -195,29 +201,50 @@
     this->Write(MakeOwnAnswer(http::status::bad_request, "not a request that can be served"));
     return;
   }
-  std::shared_ptr<const directory::RouteTable> routes = this->host.Routes();
-  if (!routes) {
-    this->Write(MakeRefusal(dispatch::Refusal::NotRun, kRetryWithoutConfiguration));
+  if (this->host.IsUsable()) {
+    this->Route(message);
+    return;
+  }
+  this->state = State::Waiting;
+  this->waiting = message;
+  base::Duration patience = context.codec.readRequest(*message).patience.value_or(kDefaultPatience);
+  this->ArmTimer(std::min(kConfigurationWait, patience / kConfigurationWaitPart));
+}
+
+void
+ClientSession::OnConfiguration()
+{
+  if (this->state != State::Waiting) {
     return;
   }
-  auto host = (*message)[http::field::host];
+  this->state = State::Serving;
+  this->timer.cancel();
+  this->Route(std::exchange(this->waiting, nullptr));
+}
+
+void
+ClientSession::Route(const std::shared_ptr<HttpRequest>& aRequest)
+{
+  EngineContext& context = this->host.Context();
+  std::shared_ptr<const directory::RouteTable> routes = this->host.Routes();
+  auto host = (*aRequest)[http::field::host];
   const directory::Route* route =
     routes->Find(std::string_view(host.data(), host.size()),
-                 std::string_view(message->target().data(), message->target().size()));
+                 std::string_view(aRequest->target().data(), aRequest->target().size()));
   if (route == nullptr) {
     context.metrics.Count(Counter::BadRequest);
     telemetry::Log(telemetry::Event::RequestRejected,
                    { { "status", "404" },
                      { "why", "no route" },
                      { "version", std::to_string(routes->Current().version) },
-                     { "target", std::string(message->target()) } });
+                     { "target", std::string(aRequest->target()) } });
     this->Write(MakeOwnAnswer(http::status::not_found, "no route"));
     return;
   }
-  RemoveHopByHop(*message);
-  message->erase(http::field::expect);
-  message->prepare_payload();
-  this->StartRun(message, routes, *route);
+  RemoveHopByHop(*aRequest);
+  aRequest->erase(http::field::expect);
+  aRequest->prepare_payload();
+  this->StartRun(aRequest, routes, *route);
 }
 
 void
@@ -313,6 +340,13 @@
 void
 ClientSession::OnTimer()
 {
+  if (this->state == State::Waiting) {
+    telemetry::Log(telemetry::Event::RequestRejected,
+                   { { "status", "503" }, { "why", "no configuration yet" } });
+    this->waiting.reset();
+    this->Write(MakeRefusal(dispatch::Refusal::NotRun, kRetryWithoutConfiguration));
+    return;
+  }
   bool halfRead = this->state == State::Reading && this->requestStarted;
   if (halfRead) {
     this->keepAlive = false;
--- a/libs/engine/src/Ingress.cpp
+++ b/libs/engine/src/Ingress.cpp
@@ -57,6 +57,15 @@
   }
 }
 
+void
+Ingress::OnConfiguration()
+{
+  std::vector<std::shared_ptr<ClientSession>> open(this->sessions.begin(), this->sessions.end());
+  for (const auto& session : open) {
+    session->OnConfiguration();
+  }
+}
+
 std::shared_ptr<const directory::RouteTable>
 Ingress::Routes() const
 {
--- a/libs/engine/src/Ingress.h
+++ b/libs/engine/src/Ingress.h
@@ -30,9 +30,13 @@
   /// Accepts nobody any more and closes connections without a request.
   void StopAccepting();
 
+  /// The first configuration is in force.
+  void OnConfiguration();
+
   size_t Sessions() const { return this->sessions.size(); }
 
   std::shared_ptr<const directory::RouteTable> Routes() const override;
+  bool IsUsable() const override { return this->options.world.IsUsable(); }
   directory::CallerLimits Limits() const override;
   bool IsDraining() const override { return this->draining; }
   EngineContext& Context() override { return this->options.context; }
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -47,7 +47,8 @@
                             .codec = aOptions.store,
                             .storeAddress = this->settings.storeAddress,
                             .instance = this->settings.instance,
-                            .watchWait = this->settings.watchWait })
+                            .watchWait = this->settings.watchWait,
+                            .onUsable = [this] { this->OnUsable(); } })
     , ingress(Ingress::Options{ .context = this->context,
                                 .world = this->world,
                                 .endpoint = *ParseEndpoint(this->settings.callerAddress),
@@ -119,15 +120,17 @@
     });
   }
 
+  void OnUsable()
+  {
+    telemetry::Log(telemetry::Event::Ready, { { "servers", std::to_string(this->fleet.Size()) } });
+    this->ingress.OnConfiguration();
+  }
+
   void KeepHouse()
   {
     base::Instant now = base::Now();
     this->world.KeepHouse(now);
     this->fleet.CloseExpired(now);
-    if (!this->wasReady && this->IsReady()) {
-      this->wasReady = true;
-      telemetry::Log(telemetry::Event::Ready, { { "servers", std::to_string(this->fleet.Size()) } });
-    }
     this->housekeeping.expires_after(kHousekeeping);
     this->housekeeping.async_wait([this](ErrorCode aError) {
       if (!aError) {
@@ -166,7 +169,6 @@
   Timer housekeeping;
   Timer stopTimer;
   base::Instant stopStartedAt{};
-  bool wasReady = false;
 };
 
 Instance::Instance(Options aOptions)
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -188,6 +188,10 @@
 World::UpdateFleet()
 {
   this->options.context.fleet.Update(this->servers, this->routes.get());
+  if (!this->wasUsable && this->IsUsable()) {
+    this->wasUsable = true;
+    this->options.onUsable();
+  }
 }
 
 } // namespace sapphirewind::engine
--- a/libs/engine/src/World.h
+++ b/libs/engine/src/World.h
@@ -20,6 +20,8 @@
     std::string instance;
     /// How long a watch may wait for a change.
     base::Duration watchWait{ 0 };
+    /// Called once requests can be served for the first time.
+    std::function<void()> onUsable;
   };
 
   explicit World(Options aOptions);
@@ -49,6 +51,7 @@
   std::shared_ptr<StoreFollower> serverFollower;
   std::shared_ptr<Registry> registry;
   size_t instances = 0;
+  bool wasUsable = false;
   std::shared_ptr<const directory::RouteTable> routes;
   directory::ServerTable servers;
 };
