--- /dev/null
+++ b/fakes/include/fakes/HttpStandIn.h
@@ -0,0 +1,78 @@
+/// @file An HTTP server for stand-ins of outside systems, with the faults that such systems show.
+#pragma once
+
+#include <engine/Asio.h>
+#include <functional>
+#include <set>
+#include <thread>
+
+namespace sapphirewind::fakes {
+
+/// An event loop on a thread of its own, shared by stand-ins.
+class StandInLoop
+{
+public:
+  StandInLoop();
+  ~StandInLoop();
+
+  engine::Loop& Get() { return this->loop; }
+
+  /// Runs a function on the loop's thread and waits for it.
+  void Run(const std::function<void()>& aFunction);
+
+private:
+  engine::Loop loop;
+  boost::asio::executor_work_guard<engine::Loop::executor_type> work;
+  std::thread thread;
+};
+
+/// What a stand-in does with one request.
+struct StandInReply
+{
+  enum class Then
+  {
+    Keep,
+    Close,   ///< After the answer.
+    Reset,   ///< In place of the answer.
+    Silence, ///< No answer, and the connection stays.
+    Truncate ///< Half of the answer, then a close.
+  };
+
+  engine::HttpResponse response;
+  base::Duration delay{ 0 };
+  Then then = Then::Keep;
+  /// Bytes that follow the answer.
+  std::string extra;
+};
+
+class HttpStandIn
+{
+public:
+  using Respond = std::function<void(StandInReply)>;
+  /// Called on the loop's thread; may respond later.
+  using Handler = std::function<void(const engine::HttpRequest&, Respond)>;
+
+  /// Listens on loopback; port 0 takes a free one.
+  HttpStandIn(StandInLoop& aLoop, uint16_t aPort, Handler aHandler);
+  ~HttpStandIn();
+
+  uint16_t Port() const { return this->port; }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(this->port); }
+
+  /// Ends all connections and refuses new ones, or serves again at the same port. Loop's thread.
+  void SetDown(bool aDown);
+
+private:
+  class Session;
+
+  void Listen();
+  void Accept();
+
+  StandInLoop& loop;
+  Handler handler;
+  std::unique_ptr<engine::Tcp::acceptor> acceptor;
+  std::set<std::shared_ptr<Session>> sessions;
+  uint16_t port;
+};
+
+} // namespace sapphirewind::fakes
--- /dev/null
+++ b/fakes/include/fakes/ObjectStore.h
@@ -0,0 +1,79 @@
+/// @file A stand-in for the platform's object store: lists with pages, watches, conditional writes,
+/// and its outages.
+#pragma once
+
+#include <deque>
+#include <fakes/HttpStandIn.h>
+#include <json/value.h>
+#include <map>
+#include <mutex>
+
+namespace sapphirewind::fakes {
+
+class ObjectStore
+{
+public:
+  enum class Mode
+  {
+    Serving,
+    Silent, ///< Takes calls and never answers.
+    Busy    ///< Answers 503.
+  };
+
+  explicit ObjectStore(StandInLoop& aLoop, uint16_t aPort = 0);
+
+  std::string Address() const { return this->server.Address(); }
+
+  /// Writes an object's spec as the operator or a server would.
+  void Put(const std::string& aKind, const std::string& aName, const Json::Value& aSpec);
+  void Remove(const std::string& aKind, const std::string& aName);
+
+  void SetMode(Mode aMode);
+  /// Drops the history; watches from before it are told that it is gone.
+  void ForgetHistory();
+  /// Objects on a page of a list.
+  void SetPageSize(size_t aObjects);
+
+  size_t Calls() const;
+  size_t Count(const std::string& aKind) const;
+
+private:
+  struct Event
+  {
+    std::string kind;
+    uint64_t revision = 0;
+    bool removed = false;
+    Json::Value object;
+  };
+  struct Watcher
+  {
+    std::string kind;
+    uint64_t revision = 0;
+    HttpStandIn::Respond respond;
+    std::shared_ptr<engine::Timer> timer;
+  };
+
+  void Handle(const engine::HttpRequest& aRequest, const HttpStandIn::Respond& aRespond);
+  void Read(const std::string& aKind, const std::string& aQuery, const HttpStandIn::Respond&);
+  StandInReply List(const std::string& aKind, const std::string& aAfter) const;
+  void Watch(const std::string& aKind, uint64_t aRevision, int64_t aWaitMs, HttpStandIn::Respond);
+  StandInReply Write(const engine::HttpRequest& aRequest, const std::string& aPath);
+  void Change(const std::string& aKind, const std::string& aName, const Json::Value* aSpec);
+  StandInReply ChangesSince(const std::string& aKind, uint64_t aRevision) const;
+  void WakeWatchers(const std::string& aKind);
+
+  StandInLoop& loop;
+  mutable std::mutex lock;
+  Mode mode = Mode::Serving;
+  size_t pageSize = 500;
+  size_t calls = 0;
+  uint64_t revision = 1;
+  uint64_t historyFrom = 0;
+  std::map<std::string, std::map<std::string, Json::Value>> objects;
+  std::deque<Event> history;
+  std::map<uint64_t, Watcher> watchers;
+  uint64_t nextWatcher = 1;
+  HttpStandIn server;
+};
+
+} // namespace sapphirewind::fakes
--- /dev/null
+++ b/fakes/include/fakes/SearchServer.h
@@ -0,0 +1,72 @@
+/// @file A stand-in for one upstream server as the platform's servers speak, with their faults.
+#pragma once
+
+#include <base/Random.h>
+#include <fakes/HttpStandIn.h>
+#include <fakes/ObjectStore.h>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace sapphirewind::fakes {
+
+/// What a server does with requests. Shares are of requests, drawn by chance.
+struct ServerBehaviour
+{
+  base::Duration work = std::chrono::milliseconds(2);
+  double shed = 0.0;        ///< Says that it did not run the request.
+  double loseAnswer = 0.0;  ///< Runs it and resets the connection.
+  double truncate = 0.0;    ///< Runs it and breaks the answer off.
+  double extraAnswer = 0.0; ///< Sends a second answer after the first.
+  double fail = 0.0;        ///< Runs it and answers 500.
+  bool silent = false;      ///< Takes requests and never answers.
+};
+
+class SearchServer
+{
+public:
+  struct Options
+  {
+    StandInLoop& loop;
+    std::string id;
+    std::string service;
+    std::string zone = "a";
+    unsigned slots = 4;
+    uint64_t seed = 1;
+    uint16_t port = 0;
+  };
+
+  explicit SearchServer(Options aOptions);
+
+  std::string Address() const { return this->server.Address(); }
+  const std::string& Id() const { return this->options.id; }
+  const std::string& Service() const { return this->options.service; }
+
+  void SetBehaviour(const ServerBehaviour& aBehaviour);
+  void SetDown(bool aDown);
+
+  /// Writes this server's entry to the store.
+  void Register(ObjectStore& aStore, const std::string& aState = "ready") const;
+
+  /// How often each request ran here.
+  std::map<std::string, int> Runs() const;
+  size_t Arrivals() const;
+
+  /// The records that a server of a service holds for a path: all servers of one hold the same.
+  static std::string RecordsOf(const std::string& aService, const std::string& aTarget);
+
+private:
+  void Handle(const engine::HttpRequest& aRequest, const HttpStandIn::Respond& aRespond);
+  StandInReply Run(const engine::HttpRequest& aRequest, const std::string& aId);
+  bool Happens(double aShare);
+
+  Options options;
+  mutable std::mutex lock;
+  ServerBehaviour behaviour;
+  base::Random random;
+  std::map<std::string, int> runs;
+  size_t arrivals = 0;
+  HttpStandIn server;
+};
+
+} // namespace sapphirewind::fakes
--- /dev/null
+++ b/fakes/src/HttpStandIn.cpp
@@ -0,0 +1,187 @@
+#include <fakes/HttpStandIn.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <future>
+#include <sstream>
+
+namespace sapphirewind::fakes {
+
+namespace asio = boost::asio;
+namespace http = engine::http;
+using engine::ErrorCode;
+
+StandInLoop::StandInLoop()
+  : work(asio::make_work_guard(this->loop))
+  , thread([this] { this->loop.run(); })
+{
+}
+
+StandInLoop::~StandInLoop()
+{
+  this->work.reset();
+  this->loop.stop();
+  this->thread.join();
+}
+
+void
+StandInLoop::Run(const std::function<void()>& aFunction)
+{
+  std::promise<void> done;
+  asio::post(this->loop, [&] {
+    aFunction();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+/// One connection to a stand-in.
+class HttpStandIn::Session : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(HttpStandIn& aOwner, engine::Tcp::socket aSocket)
+    : owner(&aOwner)
+    , socket(std::move(aSocket))
+    , timer(this->socket.get_executor())
+  {
+  }
+
+  void Read()
+  {
+    this->request = {};
+    http::async_read(this->socket,
+                     this->buffer,
+                     this->request,
+                     [self = this->shared_from_this()](ErrorCode aError, size_t) {
+                       if (aError || self->owner == nullptr) {
+                         self->Close();
+                         return;
+                       }
+                       self->owner->handler(self->request, [self](StandInReply aReply) {
+                         self->Reply(std::move(aReply));
+                       });
+                     });
+  }
+
+  void Close()
+  {
+    ErrorCode ignored;
+    this->socket.close(ignored);
+    if (this->owner != nullptr) {
+      HttpStandIn* leaving = std::exchange(this->owner, nullptr);
+      leaving->sessions.erase(this->shared_from_this());
+    }
+  }
+
+  void Forget() { this->owner = nullptr; }
+
+private:
+  void Reply(StandInReply aReply)
+  {
+    this->timer.expires_after(aReply.delay);
+    this->timer.async_wait(
+      [self = this->shared_from_this(), reply = std::move(aReply)](ErrorCode aError) mutable {
+        if (!aError && self->owner != nullptr) {
+          self->Write(std::move(reply));
+        }
+      });
+  }
+
+  void Write(StandInReply aReply)
+  {
+    if (aReply.then == StandInReply::Then::Silence) {
+      return;
+    }
+    if (aReply.then == StandInReply::Then::Reset) {
+      ErrorCode ignored;
+      this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+      this->Close();
+      return;
+    }
+    bool close = aReply.then != StandInReply::Then::Keep;
+    aReply.response.keep_alive(!close);
+    aReply.response.prepare_payload();
+    std::ostringstream text;
+    text << aReply.response;
+    std::string bytes = text.str() + aReply.extra;
+    if (aReply.then == StandInReply::Then::Truncate) {
+      bytes.resize(bytes.size() - aReply.response.body().size() / 2 - 1);
+    }
+    auto kept = std::make_shared<std::string>(std::move(bytes));
+    asio::async_write(this->socket,
+                      asio::buffer(*kept),
+                      [self = this->shared_from_this(), kept, close](ErrorCode aError, size_t) {
+                        if (aError || close) {
+                          self->Close();
+                          return;
+                        }
+                        self->Read();
+                      });
+  }
+
+  HttpStandIn* owner;
+  engine::Tcp::socket socket;
+  engine::Timer timer;
+  boost::beast::flat_buffer buffer;
+  engine::HttpRequest request;
+};
+
+HttpStandIn::HttpStandIn(StandInLoop& aLoop, uint16_t aPort, Handler aHandler)
+  : loop(aLoop)
+  , handler(std::move(aHandler))
+  , port(aPort)
+{
+  this->loop.Run([this] { this->Listen(); });
+}
+
+HttpStandIn::~HttpStandIn()
+{
+  this->loop.Run([this] {
+    this->SetDown(true);
+    for (const auto& session : this->sessions) {
+      session->Forget();
+    }
+  });
+}
+
+void
+HttpStandIn::Listen()
+{
+  this->acceptor = std::make_unique<engine::Tcp::acceptor>(
+    this->loop.Get(), engine::Tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->port));
+  this->port = this->acceptor->local_endpoint().port();
+  this->Accept();
+}
+
+void
+HttpStandIn::SetDown(bool aDown)
+{
+  if (!aDown && !this->acceptor) {
+    this->Listen();
+  }
+  if (!aDown) {
+    return;
+  }
+  this->acceptor.reset();
+  std::set<std::shared_ptr<Session>> closing = this->sessions;
+  for (const auto& session : closing) {
+    session->Close();
+  }
+}
+
+void
+HttpStandIn::Accept()
+{
+  this->acceptor->async_accept([this](ErrorCode aError, engine::Tcp::socket aSocket) {
+    if (aError) {
+      return;
+    }
+    auto session = std::make_shared<Session>(*this, std::move(aSocket));
+    this->sessions.insert(session);
+    session->Read();
+    this->Accept();
+  });
+}
+
+} // namespace sapphirewind::fakes
--- /dev/null
+++ b/fakes/src/SearchServer.cpp
@@ -0,0 +1,142 @@
+#include <fakes/SearchServer.h>
+
+#include <sstream>
+
+namespace sapphirewind::fakes {
+
+namespace http = engine::http;
+
+namespace {
+
+constexpr const char* kRequestId = "Sapphirewind-Request-Id";
+constexpr size_t kRecords = 12;
+constexpr size_t kRecordBytes = 16;
+
+} // namespace
+
+SearchServer::SearchServer(Options aOptions)
+  : options(std::move(aOptions))
+  , random(this->options.seed)
+  , server(this->options.loop,
+           this->options.port,
+           [this](const engine::HttpRequest& aRequest, const HttpStandIn::Respond& aRespond) {
+             this->Handle(aRequest, aRespond);
+           })
+{
+}
+
+std::string
+SearchServer::RecordsOf(const std::string& aService, const std::string& aTarget)
+{
+  std::string records;
+  uint64_t hash = base::Hash64(aService + aTarget);
+  for (size_t index = 0; index < kRecords; ++index) {
+    hash = base::Hash64(aService, hash + index);
+    records += base::ToHex(hash).substr(0, kRecordBytes);
+  }
+  // A remainder that is no record.
+  return records + "tail";
+}
+
+void
+SearchServer::SetBehaviour(const ServerBehaviour& aBehaviour)
+{
+  std::lock_guard guard(this->lock);
+  this->behaviour = aBehaviour;
+}
+
+void
+SearchServer::SetDown(bool aDown)
+{
+  this->options.loop.Run([&] { this->server.SetDown(aDown); });
+}
+
+void
+SearchServer::Register(ObjectStore& aStore, const std::string& aState) const
+{
+  Json::Value entry;
+  entry["service"] = this->options.service;
+  entry["address"] = this->Address();
+  entry["zone"] = this->options.zone;
+  entry["version"] = "v1";
+  entry["slots"] = this->options.slots;
+  entry["state"] = aState;
+  entry["cold_remaining_ms"] = 0;
+  entry["seq"] = 1;
+  entry["born"] = Json::Int64(1);
+  aStore.Put("servers", this->options.id, entry);
+}
+
+std::map<std::string, int>
+SearchServer::Runs() const
+{
+  std::lock_guard guard(this->lock);
+  return this->runs;
+}
+
+size_t
+SearchServer::Arrivals() const
+{
+  std::lock_guard guard(this->lock);
+  return this->arrivals;
+}
+
+bool
+SearchServer::Happens(double aShare)
+{
+  return base::UniformUnit(this->random) < aShare;
+}
+
+void
+SearchServer::Handle(const engine::HttpRequest& aRequest, const HttpStandIn::Respond& aRespond)
+{
+  std::lock_guard guard(this->lock);
+  ++this->arrivals;
+  StandInReply reply;
+  reply.response.version(11);
+  std::string id(aRequest[kRequestId]);
+  reply.response.set(kRequestId, id);
+  bool meant = aRequest["Sapphirewind-Target-Instance"] == this->options.id;
+  if (!meant || this->Happens(this->behaviour.shed)) {
+    reply.response.result(meant ? http::status::service_unavailable
+                                : http::status::misdirected_request);
+    reply.response.set("Sapphirewind-Not-Executed", "1");
+    aRespond(reply);
+    return;
+  }
+  aRespond(this->Run(aRequest, id));
+}
+
+StandInReply
+SearchServer::Run(const engine::HttpRequest& aRequest, const std::string& aId)
+{
+  int run = ++this->runs[aId];
+  StandInReply reply;
+  reply.delay = this->behaviour.work;
+  reply.response.version(11);
+  reply.response.result(http::status::ok);
+  reply.response.set(kRequestId, aId);
+  reply.response.set("Sapphirewind-Server-Stamp",
+                     this->options.service + "." + this->options.id + "." + aId + "." +
+                       std::to_string(run));
+  reply.response.set("Sapphirewind-Server-Load", "1,0," + std::to_string(this->options.slots));
+  reply.response.body() = RecordsOf(this->options.service, std::string(aRequest.target()));
+  if (this->behaviour.silent) {
+    reply.then = StandInReply::Then::Silence;
+  } else if (this->Happens(this->behaviour.loseAnswer)) {
+    reply.then = StandInReply::Then::Reset;
+  } else if (this->Happens(this->behaviour.truncate)) {
+    reply.then = StandInReply::Then::Truncate;
+  } else if (this->Happens(this->behaviour.fail)) {
+    reply.response.result(http::status::internal_server_error);
+  } else if (this->Happens(this->behaviour.extraAnswer)) {
+    engine::HttpResponse again = reply.response;
+    again.prepare_payload();
+    std::ostringstream text;
+    text << again;
+    reply.extra = text.str();
+  }
+  return reply;
+}
+
+} // namespace sapphirewind::fakes
--- /dev/null
+++ b/libs/directory/test/ServerTableTest.cpp
@@ -0,0 +1,130 @@
+#include <boost/test/unit_test.hpp>
+#include <directory/Census.h>
+#include <directory/ServerTable.h>
+
+using namespace sapphirewind;
+using namespace sapphirewind::directory;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::Instant kStart{ 100s };
+
+Server
+Named(const std::string& aId, bool aDraining = false)
+{
+  return Server{
+    .id = aId, .service = "s", .address = "127.0.0.1:1", .zone = "a", .draining = aDraining
+  };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_table_of_servers)
+
+BOOST_AUTO_TEST_SUITE(while_the_store_answers)
+
+BOOST_AUTO_TEST_CASE(drops_an_entry_as_soon_as_it_is_removed)
+{
+  ServerTable table;
+  BOOST_TEST(Upsert(table, Named("a"), 5));
+  BOOST_TEST(Remove(table, "a", 6, kStart));
+  BOOST_TEST(table.entries.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ignores_what_is_older_than_what_it_knows)
+{
+  ServerTable table;
+  Upsert(table, Named("a", true), 7);
+  BOOST_TEST(!Upsert(table, Named("a", false), 6));
+  BOOST_TEST(table.entries.at("a").server.draining);
+  BOOST_TEST(!Remove(table, "a", 6, kStart));
+  BOOST_TEST(table.entries.count("a") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(drops_what_a_whole_list_lacks_but_nothing_newer_than_the_list)
+{
+  ServerTable table;
+  Upsert(table, Named("gone"), 3);
+  Upsert(table, Named("newer"), 9);
+  BOOST_TEST(ReplaceAll(table, { { .server = Named("kept"), .revision = 4 } }, 8, kStart));
+  BOOST_TEST(table.entries.count("gone") == 0U);
+  BOOST_TEST(table.entries.count("newer") == 1U);
+  BOOST_TEST(table.entries.count("kept") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(around_an_outage_of_the_store)
+
+BOOST_AUTO_TEST_CASE(keeps_a_lapsed_entry_until_servers_had_time_to_return)
+{
+  ServerTable table;
+  Upsert(table, Named("a"), 5);
+  OnStoreLost(table);
+  OnStoreReturned(table, kStart);
+  BOOST_TEST(!Remove(table, "a", 6, kStart + 100ms));
+  BOOST_TEST(!ExpireLapsed(table, kStart + kReturnGrace - 1ms));
+  BOOST_TEST(table.entries.count("a") == 1U);
+  BOOST_TEST(ExpireLapsed(table, kStart + kReturnGrace));
+  BOOST_TEST(table.entries.empty());
+}
+
+BOOST_AUTO_TEST_CASE(counts_the_time_from_the_return_not_from_the_lapse)
+{
+  ServerTable table;
+  Upsert(table, Named("a"), 5);
+  OnStoreLost(table);
+  Remove(table, "a", 6, kStart - 10s);
+  OnStoreReturned(table, kStart);
+  BOOST_TEST(!ExpireLapsed(table, kStart + kReturnGrace - 1ms));
+  BOOST_TEST(ExpireLapsed(table, kStart + kReturnGrace));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_an_entry_that_came_back_in_time)
+{
+  ServerTable table;
+  Upsert(table, Named("a"), 5);
+  OnStoreLost(table);
+  OnStoreReturned(table, kStart);
+  Remove(table, "a", 6, kStart);
+  Upsert(table, Named("a"), 7);
+  BOOST_TEST(!ExpireLapsed(table, kStart + 10s));
+  BOOST_TEST(table.entries.count("a") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(gives_a_draining_server_no_grace)
+{
+  ServerTable table;
+  Upsert(table, Named("a", true), 5);
+  OnStoreLost(table);
+  OnStoreReturned(table, kStart);
+  BOOST_TEST(Remove(table, "a", 6, kStart));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_census_of_instances)
+
+BOOST_AUTO_TEST_CASE(counts_an_entry_while_it_keeps_changing)
+{
+  Census census;
+  Observe(census, "a", 1, kStart);
+  Observe(census, "b", 2, kStart);
+  BOOST_TEST(CountLive(census, kStart) == 2U);
+  Observe(census, "a", 3, kStart + kBeatInterval);
+  Observe(census, "b", 2, kStart + kBeatInterval);
+  BOOST_TEST(CountLive(census, kStart + kBeatLifetime) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(hands_out_long_dead_entries_once)
+{
+  Census census;
+  Observe(census, "a", 1, kStart);
+  BOOST_TEST(TakeExpired(census, kStart + kEntryLifetime - 1s).empty());
+  BOOST_TEST(TakeExpired(census, kStart + kEntryLifetime).size() == 1U);
+  BOOST_TEST(TakeExpired(census, kStart + kEntryLifetime).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/dispatch/include/dispatch/Upstream.h
+++ b/libs/dispatch/include/dispatch/Upstream.h
@@ -113,10 +113,7 @@
 
 /// Nobody waits for the answer any more; the server takes at least as long as it took.
 void
-OnAbandoned(Upstream& aUpstream,
-            const WorkEstimate& aWork,
-            uint64_t aRequest,
-            base::Instant aNow);
+OnAbandoned(Upstream& aUpstream, const WorkEstimate& aWork, uint64_t aRequest, base::Instant aNow);
 
 /// No connection, no answer, or one that cannot be used. Ejects the server from the second failure
 /// in a row on.
--- a/libs/dispatch/src/Upstream.cpp
+++ b/libs/dispatch/src/Upstream.cpp
@@ -214,8 +214,7 @@
     return;
   }
   base::Duration elapsed = aNow - request->sentAt - aUpstream.roundTrip;
-  double sample =
-    static_cast<double>(elapsed.count()) / static_cast<double>(aWork.mean.count());
+  double sample = static_cast<double>(elapsed.count()) / static_cast<double>(aWork.mean.count());
   if (sample > SlownessNow(aUpstream, aNow)) {
     LearnSlowness(aUpstream, sample, aNow);
   }
@@ -231,8 +230,8 @@
     return;
   }
   unsigned doublings = std::min(aUpstream.failuresInRow - kFailuresToEject, 6U);
-  base::Duration ejection = std::min<base::Duration>(kFirstEjection * (1U << doublings),
-                                                     kLongestEjection);
+  base::Duration ejection =
+    std::min<base::Duration>(kFirstEjection * (1U << doublings), kLongestEjection);
   aUpstream.ejectedUntil = aNow + ejection;
 }
 
--- /dev/null
+++ b/libs/dispatch/test/UpstreamTest.cpp
@@ -0,0 +1,162 @@
+#include <boost/test/unit_test.hpp>
+#include <dispatch/Upstream.h>
+
+using namespace sapphirewind;
+using namespace sapphirewind::dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::Instant kStart{ 100s };
+
+Upstream
+At(base::Duration aRoundTrip)
+{
+  return Upstream{ .roundTrip = aRoundTrip, .slots = 3, .maxInFlight = 5 };
+}
+
+const WorkEstimate kWork{ .mean = 15ms, .samples = 100 };
+
+/// A service with a server nearby and one far away.
+struct Service
+{
+  Upstream near = At(1ms);
+  Upstream far = At(40ms);
+  WorkEstimate work = kWork;
+  base::Random random{ 7 };
+
+  std::optional<size_t> Choose(base::Instant aNow, const std::vector<size_t>& aTried = {})
+  {
+    std::vector<const Upstream*> both = { &this->near, &this->far };
+    return ChooseUpstream(both, aTried, this->work, aNow, this->random);
+  }
+
+  bool ChoosesNear(base::Instant aNow) { return this->Choose(aNow) == 0U; }
+};
+
+void
+Serve(Upstream& aUpstream, WorkEstimate& aWork, base::Duration aTook, base::Instant aAt)
+{
+  static uint64_t number = 1000;
+  OnSent(aUpstream, ++number, 16ms, aAt - aTook);
+  OnAnswered(aUpstream, aWork, number, aAt);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_choice_of_a_server)
+
+BOOST_AUTO_TEST_CASE(prefers_the_near_one)
+{
+  Service service;
+  BOOST_TEST(service.ChoosesNear(kStart));
+}
+
+BOOST_AUTO_TEST_CASE(leaves_out_those_that_were_tried_that_drain_or_have_no_room)
+{
+  Service service;
+  BOOST_TEST((service.Choose(kStart, { 0 }) == 1U));
+  BOOST_TEST(!service.Choose(kStart, { 0, 1 }).has_value());
+  service.near.draining = true;
+  BOOST_TEST(!service.ChoosesNear(kStart));
+  service.far.maxInFlight = 0;
+  BOOST_TEST(!service.Choose(kStart).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE(while_the_near_one_stalls)
+
+BOOST_AUTO_TEST_CASE(turns_away_once_a_request_there_is_overdue)
+{
+  Service service;
+  OnSent(service.near, 1, 16ms, kStart);
+  BOOST_TEST(service.ChoosesNear(kStart + 20ms));
+  BOOST_TEST(!service.ChoosesNear(kStart + 100ms));
+}
+
+BOOST_AUTO_TEST_CASE(returns_as_soon_as_it_answers)
+{
+  Service service;
+  OnSent(service.near, 1, 16ms, kStart);
+  OnAnswered(service.near, service.work, 1, kStart + 260ms);
+  BOOST_TEST(service.ChoosesNear(kStart + 261ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_near_one_is_slow)
+
+BOOST_AUTO_TEST_CASE(goes_far_after_several_slow_answers_and_tries_again_later)
+{
+  Service service;
+  base::Instant now = kStart;
+  for (int answer = 0; answer < 8; ++answer) {
+    now += 30ms;
+    Serve(service.near, service.work, 136ms, now);
+  }
+  BOOST_TEST(!service.ChoosesNear(now));
+  BOOST_TEST(service.ChoosesNear(now + 15s));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_misled_by_one)
+{
+  Service service;
+  Serve(service.near, service.work, 266ms, kStart);
+  BOOST_TEST(service.ChoosesNear(kStart));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_near_one_fails)
+
+BOOST_AUTO_TEST_CASE(leaves_one_that_refuses_two_in_five_requests)
+{
+  Service service;
+  base::Instant now = kStart;
+  for (int request = 0; request < 40; ++request) {
+    now += 30ms;
+    if (request % 5 < 2) {
+      OnSent(service.near, static_cast<uint64_t>(request), 16ms, now);
+      OnRefused(service.near, static_cast<uint64_t>(request), now);
+    } else {
+      Serve(service.near, service.work, 16ms, now);
+    }
+  }
+  BOOST_TEST(!service.ChoosesNear(now + 2 * kLoadReportLifetime));
+}
+
+BOOST_AUTO_TEST_CASE(ejects_it_after_two_failures_in_a_row_and_for_longer_each_time)
+{
+  Service service;
+  OnFailed(service.near, 1, kStart);
+  BOOST_TEST(!IsEjected(service.near, kStart));
+  OnFailed(service.near, 2, kStart);
+  BOOST_TEST(IsEjected(service.near, kStart + kFirstEjection - 1ms));
+  BOOST_TEST(!IsEjected(service.near, kStart + kFirstEjection));
+  OnFailed(service.near, 3, kStart);
+  BOOST_TEST(IsEjected(service.near, kStart + kFirstEjection));
+  for (uint64_t request = 4; request < 40; ++request) {
+    OnFailed(service.near, request, kStart);
+  }
+  BOOST_TEST(!IsEjected(service.near, kStart + kLongestEjection));
+}
+
+BOOST_AUTO_TEST_CASE(uses_an_ejected_one_when_there_is_no_other)
+{
+  Service service;
+  OnFailed(service.near, 1, kStart);
+  OnFailed(service.near, 2, kStart);
+  BOOST_TEST(!service.ChoosesNear(kStart));
+  BOOST_TEST((service.Choose(kStart, { 1 }) == 0U));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(believes_a_reported_queue_for_a_short_time)
+{
+  Service service;
+  OnLoadReport(service.near, { .running = 3, .waiting = 9, .slots = 3 }, kStart);
+  BOOST_TEST(!service.ChoosesNear(kStart + 1ms));
+  BOOST_TEST(service.ChoosesNear(kStart + kLoadReportLifetime));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/engine/include/engine/Instance.h
+++ b/libs/engine/include/engine/Instance.h
@@ -27,9 +27,12 @@
   /// Serves until it was asked to stop and has stopped. Precondition: Start succeeded.
   void Run();
 
-  /// Begins a graceful stop; call from the loop's thread or before Run.
+  /// Begins a graceful stop, as SIGTERM does. May be called from any thread.
   void Stop();
 
+  /// Makes Run return at once, whatever is under way. May be called from any thread.
+  void Abort();
+
 private:
   class Impl;
   std::unique_ptr<Impl> impl;
--- a/libs/engine/src/ClientSession.cpp
+++ b/libs/engine/src/ClientSession.cpp
@@ -47,8 +47,7 @@
   auto hosts = aRequest.equal_range(http::field::host);
   bool oneHost = std::distance(hosts.first, hosts.second) == 1;
   bool path = !aRequest.target().empty() && aRequest.target().front() == '/';
-  bool method =
-    aRequest.method() != http::verb::connect && aRequest.method() != http::verb::trace;
+  bool method = aRequest.method() != http::verb::connect && aRequest.method() != http::verb::trace;
   return oneHost && path && method;
 }
 
@@ -286,18 +285,17 @@
     this->response->set(http::field::keep_alive, fmt::format("timeout={}", seconds.count()));
   }
   this->ArmTimer(kWriteTimeout);
-  http::async_write(this->socket,
-                    *this->response,
-                    [self = this->shared_from_this()](ErrorCode aError, size_t) {
-                      if (self->state != State::Writing) {
-                        return;
-                      }
-                      if (aError) {
-                        self->Close();
-                        return;
-                      }
-                      self->OnWritten();
-                    });
+  http::async_write(
+    this->socket, *this->response, [self = this->shared_from_this()](ErrorCode aError, size_t) {
+      if (self->state != State::Writing) {
+        return;
+      }
+      if (aError) {
+        self->Close();
+        return;
+      }
+      self->OnWritten();
+    });
 }
 
 void
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -1,6 +1,7 @@
 #include <engine/Instance.h>
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <engine/StatusServer.h>
@@ -83,6 +84,13 @@
 
   void Run() { this->loop.run(); }
 
+  void Abort() { this->loop.stop(); }
+
+  void PostStop()
+  {
+    asio::post(this->loop, [this] { this->Stop(); });
+  }
+
   void Stop()
   {
     if (this->ingress.IsDraining()) {
@@ -193,7 +201,13 @@
 void
 Instance::Stop()
 {
-  this->impl->Stop();
+  this->impl->PostStop();
+}
+
+void
+Instance::Abort()
+{
+  this->impl->Abort();
 }
 
 } // namespace sapphirewind::engine
--- a/libs/engine/src/Registry.cpp
+++ b/libs/engine/src/Registry.cpp
@@ -151,8 +151,7 @@
 Registry::BeatAfter(base::Duration aDelay)
 {
   double jitter = 0.75 + 0.5 * base::UniformUnit(this->options.random);
-  this->timer.expires_after(
-    base::FromFractionalMillis(base::ToFractionalMillis(aDelay) * jitter));
+  this->timer.expires_after(base::FromFractionalMillis(base::ToFractionalMillis(aDelay) * jitter));
   this->timer.async_wait([self = this->shared_from_this()](ErrorCode aError) {
     if (!aError) {
       self->Beat();
--- a/libs/engine/src/StoreConnection.cpp
+++ b/libs/engine/src/StoreConnection.cpp
@@ -46,8 +46,7 @@
   }
   this->socket = std::make_shared<Tcp::socket>(this->options.loop);
   this->socket->async_connect(
-    this->options.endpoint,
-    [self, current, exchange, kept = this->socket](ErrorCode aError) {
+    this->options.endpoint, [self, current, exchange, kept = this->socket](ErrorCode aError) {
       if (aError) {
         self->Fail(current, "cannot connect");
         return;
@@ -66,26 +65,25 @@
 StoreConnection::Send(const std::shared_ptr<Exchange>& aExchange, uint64_t aNumber)
 {
   auto self = this->shared_from_this();
-  http::async_write(
-    *this->socket,
-    aExchange->request,
-    [self, aExchange, aNumber, kept = this->socket](ErrorCode aError, size_t) {
-      if (aError) {
-        self->Fail(aNumber, "write failed");
-        return;
-      }
-      http::async_read(
-        *kept,
-        aExchange->buffer,
-        aExchange->parser,
-        [self, aExchange, aNumber, kept](ErrorCode aReadError, size_t) {
-          if (aReadError) {
-            self->Fail(aNumber, "no whole answer");
-            return;
-          }
-          self->Finish(aNumber, aExchange->parser.release());
-        });
-    });
+  http::async_write(*this->socket,
+                    aExchange->request,
+                    [self, aExchange, aNumber, kept = this->socket](ErrorCode aError, size_t) {
+                      if (aError) {
+                        self->Fail(aNumber, "write failed");
+                        return;
+                      }
+                      http::async_read(
+                        *kept,
+                        aExchange->buffer,
+                        aExchange->parser,
+                        [self, aExchange, aNumber, kept](ErrorCode aReadError, size_t) {
+                          if (aReadError) {
+                            self->Fail(aNumber, "no whole answer");
+                            return;
+                          }
+                          self->Finish(aNumber, aExchange->parser.release());
+                        });
+                    });
 }
 
 void
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -46,14 +46,13 @@
   if (this->listing) {
     call.target = this->options.codec.listTarget(this->options.kind, this->listAfter);
   } else {
-    call.target = this->options.codec.watchTarget(
-      this->options.kind, this->revision, this->options.watchWait);
+    call.target =
+      this->options.codec.watchTarget(this->options.kind, this->revision, this->options.watchWait);
     call.timeout += this->options.watchWait;
   }
-  this->connection->Make(std::move(call),
-                         [self = this->shared_from_this()](StoreAnswer&& aAnswer) {
-                           self->OnAnswer(std::move(aAnswer));
-                         });
+  this->connection->Make(std::move(call), [self = this->shared_from_this()](StoreAnswer&& aAnswer) {
+    self->OnAnswer(std::move(aAnswer));
+  });
 }
 
 void
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -68,9 +68,9 @@
       },
     .onLost =
       [this, followsServers](const char* aCause) {
-        telemetry::Log(telemetry::Event::StoreLost,
-                       { { "follows", followsServers ? "servers" : "configuration" },
-                         { "why", aCause } });
+        telemetry::Log(
+          telemetry::Event::StoreLost,
+          { { "follows", followsServers ? "servers" : "configuration" }, { "why", aCause } });
         if (followsServers) {
           directory::OnStoreLost(this->servers);
         }
@@ -93,18 +93,16 @@
       LogMalformed(object);
       continue;
     }
-    bool isNewer = object.configuration &&
-                   (!this->routes ||
-                    object.configuration->version > this->routes->Current().version);
+    bool isNewer = object.configuration && (!this->routes || object.configuration->version >
+                                                               this->routes->Current().version);
     if (!isNewer) {
       continue;
     }
     this->routes = std::make_shared<const directory::RouteTable>(*object.configuration);
-    telemetry::Log(
-      telemetry::Event::ConfigurationInForce,
-      { { "version", std::to_string(this->routes->Current().version) },
-        { "revision", std::to_string(object.revision) },
-        { "routes", std::to_string(this->routes->Current().routes.size()) } });
+    telemetry::Log(telemetry::Event::ConfigurationInForce,
+                   { { "version", std::to_string(this->routes->Current().version) },
+                     { "revision", std::to_string(object.revision) },
+                     { "routes", std::to_string(this->routes->Current().routes.size()) } });
   }
   this->UpdateFleet();
 }
--- a/libs/telemetry/src/Events.cpp
+++ b/libs/telemetry/src/Events.cpp
@@ -62,10 +62,8 @@
     return std::make_shared<spdlog::logger>("sapphirewind", sink);
   }
   spdlog::init_thread_pool(kQueuedLines, 1);
-  return std::make_shared<spdlog::async_logger>("sapphirewind",
-                                                sink,
-                                                spdlog::thread_pool(),
-                                                spdlog::async_overflow_policy::overrun_oldest);
+  return std::make_shared<spdlog::async_logger>(
+    "sapphirewind", sink, spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
 }
 
 /// Counts the lines of the current second.
--- /dev/null
+++ b/test/engine/IngressTest.cpp
@@ -0,0 +1,160 @@
+#include "EngineStage.h"
+
+#include <base/Random.h>
+#include <boost/test/unit_test.hpp>
+
+using namespace sapphirewind;
+using namespace sapphirewind::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct ReadyStage : EngineStage
+{
+  ReadyStage()
+  {
+    this->StartInstance();
+    BOOST_REQUIRE(this->AwaitReady());
+  }
+
+  size_t AllArrivals()
+  {
+    size_t arrivals = 0;
+    for (const auto& server : this->servers) {
+      arrivals += server->Arrivals();
+    }
+    return arrivals;
+  }
+};
+
+unsigned
+StatusOf(std::optional<engine::HttpResponse> aAnswer)
+{
+  return aAnswer ? aAnswer->result_int() : 0;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_callers_connection, ReadyStage)
+
+BOOST_AUTO_TEST_SUITE(with_a_proper_request)
+
+BOOST_AUTO_TEST_CASE(serves_one_after_the_other)
+{
+  Caller caller = this->Connect();
+  for (int request = 0; request < 5; ++request) {
+    BOOST_TEST(StatusOf(caller.Exchange({ .target = "/p/1", .id = std::to_string(request) })) ==
+               200U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(answers_requests_that_were_sent_ahead_in_order)
+{
+  Caller caller = this->Connect();
+  caller.Send(Bytes({ .target = "/p/first", .id = "1" }) +
+              Bytes({ .target = "/p/second", .id = "2" }));
+  auto first = caller.Receive();
+  auto second = caller.Receive();
+  BOOST_REQUIRE(first.has_value());
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST(first->body() == fakes::SearchServer::RecordsOf("p", "/p/first"));
+  BOOST_TEST(second->body() == fakes::SearchServer::RecordsOf("p", "/p/second"));
+}
+
+BOOST_AUTO_TEST_CASE(takes_a_body_in_chunks_and_byte_by_byte)
+{
+  Caller caller = this->Connect();
+  std::string text = "POST /b/1 HTTP/1.1\r\nHost: search.example\r\nSapphirewind-Request-Id: "
+                     "chunks\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (char byte : text) {
+    caller.Send(std::string(1, byte));
+  }
+  BOOST_TEST(StatusOf(caller.Receive()) == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(says_404_where_no_route_leads)
+{
+  BOOST_TEST(StatusOf(this->Connect().Exchange({ .target = "/nowhere/" })) == 404U);
+  BOOST_TEST(StatusOf(this->Connect().Exchange({ .target = "/q/1", .host = "other" })) == 404U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(with_bytes_that_are_no_request)
+
+BOOST_AUTO_TEST_CASE(refuses_what_has_two_meanings)
+{
+  std::string head = "POST /b/1 HTTP/1.1\r\nHost: search.example\r\n";
+  const std::string kBad[] = {
+    head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+    head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+    head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    head + "Content-Length: -3\r\n\r\nabc",
+    head + "Content-Length: 3x\r\n\r\nabc",
+    head + "Host: other.example\r\nContent-Length: 0\r\n\r\n",
+    head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+    "POST /b/1 HTTP/1.1\r\n\r\n",
+    "POST  /b/1 HTTP/1.1\r\nHost: search.example\r\n\r\n",
+    "CONNECT search.example:80 HTTP/1.1\r\nHost: search.example\r\n\r\n",
+    "POST http://search.example/b/1 HTTP/1.1\r\nHost: search.example\r\nContent-Length: 0\r\n\r\n",
+    "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+  };
+  for (const std::string& bytes : kBad) {
+    Caller caller = this->Connect();
+    caller.Send(bytes);
+    BOOST_TEST(StatusOf(caller.Receive()) == 400U, bytes);
+    BOOST_TEST(caller.IsEnded(), bytes);
+  }
+  BOOST_TEST(this->AllArrivals() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_what_is_too_large)
+{
+  Caller header = this->Connect();
+  header.Send("GET /p/1 HTTP/1.1\r\nHost: search.example\r\nX: " + std::string(5000, 'x') +
+              "\r\n\r\n");
+  BOOST_TEST(StatusOf(header.Receive()) == 431U);
+  Caller body = this->Connect();
+  body.Send("POST /b/1 HTTP/1.1\r\nHost: search.example\r\nContent-Length: 10001\r\n\r\n");
+  BOOST_TEST(StatusOf(body.Receive()) == 413U);
+  BOOST_TEST(this->AllArrivals() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(gives_up_a_request_that_does_not_arrive)
+{
+  Caller caller = this->Connect();
+  caller.Send("GET /p/1 HTTP/1.1\r\nHost: sea");
+  BOOST_TEST(StatusOf(caller.Receive()) == 408U);
+  BOOST_TEST(caller.IsEnded());
+}
+
+BOOST_AUTO_TEST_CASE(survives_random_damage_to_requests)
+{
+  base::Random random(20261204);
+  const std::string kWhole =
+    Bytes({ .target = "/p/1", .id = "fuzz", .method = "POST", .body = "abc" });
+  for (int round = 0; round < 300; ++round) {
+    std::string bytes = kWhole;
+    for (size_t change = 1 + base::UniformIndex(random, 4); change > 0; --change) {
+      size_t at = base::UniformIndex(random, bytes.size());
+      switch (base::UniformIndex(random, 3)) {
+        case 0:
+          bytes[at] = static_cast<char>(random());
+          break;
+        case 1:
+          bytes.erase(at, 1 + base::UniformIndex(random, 3));
+          break;
+        default:
+          bytes.insert(at, 1, static_cast<char>(random()));
+          break;
+      }
+    }
+    Caller caller = this->Connect();
+    caller.Send(bytes);
+    caller.Close();
+  }
+  BOOST_TEST(StatusOf(this->Connect().Exchange({ .target = "/p/1", .id = "after" })) == 200U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/engine/StoreTest.cpp
@@ -0,0 +1,174 @@
+#include "EngineStage.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sapphirewind;
+using namespace sapphirewind::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool
+IsServed(EngineStage& aStage, const std::string& aTarget, const std::string& aId)
+{
+  auto answer = aStage.Connect().Exchange({ .target = aTarget, .id = aId });
+  return answer && answer->result_int() == 200U;
+}
+
+void
+AddRoute(Json::Value& aRoot)
+{
+  Json::Value route = aRoot["routes"][1];
+  route["name"] = "added";
+  route["path_prefix"] = "/added/";
+  aRoot["routes"].append(route);
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(an_instance, EngineStage)
+
+BOOST_AUTO_TEST_SUITE(that_starts)
+
+BOOST_AUTO_TEST_CASE(becomes_ready_with_a_list_of_many_pages)
+{
+  this->store.SetPageSize(3);
+  this->StartInstance();
+  BOOST_TEST(this->AwaitReady());
+  BOOST_TEST(IsServed(*this, "/q/1", "paged"));
+}
+
+BOOST_AUTO_TEST_CASE(refuses_as_not_run_while_the_store_is_silent_and_serves_once_it_answers)
+{
+  this->store.SetMode(fakes::ObjectStore::Mode::Silent);
+  this->StartInstance();
+  auto answer = this->Connect().Exchange({ .target = "/p/1", .id = "early", .deadlineMs = 200 });
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->result_int() == 503U);
+  BOOST_TEST(!Header(*answer, "Retry-After").empty());
+  BOOST_TEST(!this->IsReady());
+  this->store.SetMode(fakes::ObjectStore::Mode::Serving);
+  BOOST_TEST(this->AwaitReady());
+  BOOST_TEST(IsServed(*this, "/p/1", "later"));
+}
+
+BOOST_AUTO_TEST_CASE(serves_a_request_that_waited_for_the_configuration)
+{
+  this->store.SetMode(fakes::ObjectStore::Mode::Busy);
+  this->StartInstance();
+  Caller caller = this->Connect();
+  caller.Send(Bytes({ .target = "/p/1", .id = "waits", .deadlineMs = 60000 }));
+  this->store.SetMode(fakes::ObjectStore::Mode::Serving);
+  auto answer = caller.Receive();
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->result_int() == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(becomes_ready_when_servers_register_after_it_listed_none)
+{
+  for (const auto& server : this->servers) {
+    this->store.Remove("servers", server->Id());
+  }
+  this->StartInstance();
+  std::this_thread::sleep_for(100ms);
+  BOOST_TEST(!this->IsReady());
+  for (const auto& server : this->servers) {
+    server->Register(this->store);
+  }
+  BOOST_TEST(this->AwaitReady());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_follows_the_store)
+
+BOOST_AUTO_TEST_CASE(brings_a_new_configuration_into_force_and_never_an_older_one)
+{
+  this->StartInstance();
+  BOOST_REQUIRE(this->AwaitReady());
+  this->Configure(5, AddRoute);
+  BOOST_TEST(Await([this] { return IsServed(*this, "/added/1", "added"); }));
+  this->Configure(4);
+  std::this_thread::sleep_for(400ms);
+  BOOST_TEST(IsServed(*this, "/added/1", "still"));
+}
+
+BOOST_AUTO_TEST_CASE(lists_anew_when_the_history_is_gone)
+{
+  this->StartInstance();
+  BOOST_REQUIRE(this->AwaitReady());
+  this->store.ForgetHistory();
+  this->Configure(6, AddRoute);
+  BOOST_TEST(Await([this] { return IsServed(*this, "/added/1", "added"); }));
+}
+
+BOOST_AUTO_TEST_CASE(serves_on_through_an_outage_and_catches_up_after_it)
+{
+  this->StartInstance();
+  BOOST_REQUIRE(this->AwaitReady());
+  this->store.SetMode(fakes::ObjectStore::Mode::Silent);
+  this->Configure(7, AddRoute);
+  std::this_thread::sleep_for(300ms);
+  BOOST_TEST(IsServed(*this, "/q/1", "meanwhile"));
+  this->store.SetMode(fakes::ObjectStore::Mode::Serving);
+  BOOST_TEST(Await([this] { return IsServed(*this, "/added/1", "after"); }));
+}
+
+BOOST_AUTO_TEST_CASE(sends_nothing_to_a_server_that_drains)
+{
+  this->StartInstance();
+  BOOST_REQUIRE(this->AwaitReady());
+  fakes::SearchServer& leaving = this->ServerOf("p", 0);
+  leaving.Register(this->store, "draining");
+  std::this_thread::sleep_for(500ms);
+  size_t before = leaving.Arrivals();
+  for (int request = 0; request < 20; ++request) {
+    BOOST_TEST(IsServed(*this, "/p/1", std::to_string(request)));
+  }
+  BOOST_TEST(leaving.Arrivals() == before);
+}
+
+BOOST_AUTO_TEST_CASE(registers_itself)
+{
+  this->StartInstance();
+  BOOST_TEST(Await([this] { return this->store.Count("instances") == 1; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_is_asked_to_stop)
+
+BOOST_AUTO_TEST_CASE(tells_the_balancer_serves_what_comes_and_ends)
+{
+  this->StartInstance();
+  BOOST_REQUIRE(this->AwaitReady());
+  Caller kept = this->Connect();
+  BOOST_TEST(kept.Exchange({ .target = "/p/1", .id = "before" })->keep_alive());
+  this->StopInstance();
+  BOOST_TEST(Await([this] { return !this->IsReady(); }));
+  auto answer = kept.Exchange({ .target = "/p/1", .id = "during" });
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->result_int() == 200U);
+  BOOST_TEST(!answer->keep_alive());
+  BOOST_TEST(IsServed(*this, "/q/1", "newcomer"));
+  BOOST_TEST(Await([this] { return !this->IsRunning(); }));
+}
+
+BOOST_AUTO_TEST_CASE(answers_what_is_in_flight_first)
+{
+  this->StartInstance();
+  BOOST_REQUIRE(this->AwaitReady());
+  this->ForServersOf(
+    "p", [](fakes::SearchServer& aServer) { aServer.SetBehaviour({ .work = 1000ms }); });
+  Caller caller = this->Connect();
+  caller.Send(Bytes({ .target = "/b/1", .id = "long", .method = "POST", .body = "x" }));
+  BOOST_TEST(Await([this] { return this->RunsOf("long") == 1; }));
+  this->StopInstance();
+  auto answer = caller.Receive();
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->result_int() == 200U);
+  BOOST_TEST(Await([this] { return !this->IsRunning(); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/engine/WholePathTest.cpp
@@ -0,0 +1,251 @@
+#include "EngineStage.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <sstream>
+
+using namespace sapphirewind;
+using namespace sapphirewind::test;
+using namespace std::chrono_literals;
+namespace http = engine::http;
+
+namespace {
+
+struct ReadyStage : EngineStage
+{
+  ReadyStage()
+  {
+    this->StartInstance();
+    BOOST_REQUIRE(this->AwaitReady());
+  }
+};
+
+/// The records that a whole answer to a query must hold.
+std::string
+ExpectedRecords(const std::string& aTarget, const std::set<std::string>& aWithout = {})
+{
+  std::vector<std::string> records;
+  for (size_t shard = 0; shard < EngineStage::kShards; ++shard) {
+    std::string service = "s" + std::to_string(shard);
+    std::string part = fakes::SearchServer::RecordsOf(service, aTarget);
+    for (size_t at = 0; aWithout.count(service) == 0 && at + 16 <= part.size(); at += 16) {
+      records.push_back(part.substr(at, 16));
+    }
+  }
+  std::sort(records.rbegin(), records.rend());
+  std::string expected;
+  for (size_t index = 0; index < 5; ++index) {
+    expected += records[index];
+  }
+  return expected;
+}
+
+std::set<std::string>
+ServicesIn(const engine::HttpResponse& aResponse)
+{
+  std::set<std::string> services;
+  std::stringstream stamps(Header(aResponse, "Sapphirewind-Part-Stamps"));
+  std::string stamp;
+  while (std::getline(stamps, stamp, ',')) {
+    size_t from = stamp.find_first_not_of(' ');
+    services.insert(stamp.substr(from, stamp.find('.') - from));
+  }
+  return services;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_query, ReadyStage)
+
+BOOST_AUTO_TEST_CASE(is_answered_whole_from_all_shards)
+{
+  auto answer = this->Connect().Exchange({ .target = "/q/1" });
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->result_int() == 200U);
+  BOOST_TEST(answer->body() == ExpectedRecords("/q/1"));
+  BOOST_TEST(ServicesIn(*answer).size() == kShards);
+  BOOST_TEST(Header(*answer, "Sapphirewind-Missing-Parts") == "0");
+}
+
+BOOST_AUTO_TEST_SUITE(with_a_shard_that_cannot_answer)
+
+BOOST_AUTO_TEST_CASE(says_so_and_covers_the_others)
+{
+  this->ForServersOf("s3", [](fakes::SearchServer& aServer) { aServer.SetDown(true); });
+  auto answer = this->Connect().Exchange({ .target = "/q/2" });
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->result_int() == 200U);
+  BOOST_TEST(answer->body() == ExpectedRecords("/q/2", { "s3" }));
+  BOOST_TEST(ServicesIn(*answer).count("s3") == 0U);
+  BOOST_TEST(Header(*answer, "Sapphirewind-Missing-Parts") == "1");
+}
+
+BOOST_AUTO_TEST_CASE(is_no_answer_below_the_least_coverage)
+{
+  for (const char* shard : { "s1", "s2", "s3" }) {
+    this->ForServersOf(shard,
+                       [](fakes::SearchServer& aServer) { aServer.SetBehaviour({ .fail = 1.0 }); });
+  }
+  auto answer = this->Connect().Exchange({ .target = "/q/3" });
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->result_int() == 502U);
+  BOOST_TEST(Header(*answer, "Sapphirewind-Part-Stamps").empty());
+}
+
+BOOST_AUTO_TEST_CASE(takes_no_servers_failure_for_a_part)
+{
+  this->ForServersOf("s4",
+                     [](fakes::SearchServer& aServer) { aServer.SetBehaviour({ .fail = 1.0 }); });
+  auto answer = this->Connect().Exchange({ .target = "/q/4" });
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->result_int() == 200U);
+  BOOST_TEST(ServicesIn(*answer).count("s4") == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(asks_a_second_server_when_the_first_is_silent)
+{
+  this->ServerOf("s5", 0).SetBehaviour({ .silent = true });
+  auto answer = this->Connect().Exchange({ .target = "/q/5" });
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(ServicesIn(*answer).count("s5") == 1U);
+  BOOST_TEST(this->ServerOf("s5", 1).Arrivals() > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(survives_broken_off_and_doubled_answers_unmixed)
+{
+  for (const auto& server : this->servers) {
+    server->SetBehaviour({ .truncate = 0.1, .extraAnswer = 0.2 });
+  }
+  Caller caller = this->Connect();
+  for (int query = 0; query < 40; ++query) {
+    std::string target = "/q/mixed" + std::to_string(query);
+    auto answer = caller.Exchange({ .target = target, .id = "mixed-" + std::to_string(query) });
+    BOOST_REQUIRE(answer.has_value());
+    if (answer->result_int() != 200) {
+      continue;
+    }
+    std::set<std::string> without;
+    std::set<std::string> in = ServicesIn(*answer);
+    for (size_t shard = 0; shard < kShards; ++shard) {
+      std::string service = "s" + std::to_string(shard);
+      if (in.count(service) == 0) {
+        without.insert(service);
+      }
+    }
+    BOOST_TEST(answer->body() == ExpectedRecords(target, without));
+    BOOST_TEST(Header(*answer, "Sapphirewind-Missing-Parts") == std::to_string(without.size()));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_plain_request, ReadyStage)
+
+BOOST_AUTO_TEST_CASE(gets_its_servers_answer_unchanged)
+{
+  auto answer = this->Connect().Exchange({ .target = "/p/1", .id = "plain" });
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->result_int() == 200U);
+  BOOST_TEST(answer->body() == fakes::SearchServer::RecordsOf("p", "/p/1"));
+  BOOST_TEST(!Header(*answer, "Sapphirewind-Server-Stamp").empty());
+}
+
+BOOST_AUTO_TEST_CASE(is_sent_again_after_a_lost_answer_if_it_may_be_repeated)
+{
+  this->ServerOf("p", 0).SetBehaviour({ .loseAnswer = 1.0 });
+  for (int request = 0; request < 4; ++request) {
+    auto answer = this->Connect().Exchange({ .target = "/p/1", .id = std::to_string(request) });
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->result_int() == 200U);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE(that_may_run_once)
+
+BOOST_AUTO_TEST_CASE(runs_once_and_is_told_so_when_its_answer_is_lost)
+{
+  this->ForServersOf(
+    "p", [](fakes::SearchServer& aServer) { aServer.SetBehaviour({ .loseAnswer = 1.0 }); });
+  auto answer =
+    this->Connect().Exchange({ .target = "/b/1", .id = "once", .method = "POST", .body = "two" });
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->result_int() == 502U);
+  BOOST_TEST(this->RunsOf("once") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_truly_when_no_server_ran_it)
+{
+  this->ForServersOf("p",
+                     [](fakes::SearchServer& aServer) { aServer.SetBehaviour({ .shed = 1.0 }); });
+  auto answer =
+    this->Connect().Exchange({ .target = "/b/1", .id = "none", .method = "POST", .body = "two" });
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->result_int() == 503U);
+  BOOST_TEST(!Header(*answer, "Retry-After").empty());
+  BOOST_TEST(this->RunsOf("none") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(is_sent_on_after_a_refusal_that_says_it_did_not_run)
+{
+  this->ServerOf("p", 0).SetBehaviour({ .shed = 1.0 });
+  for (int request = 0; request < 6; ++request) {
+    std::string id = "on-" + std::to_string(request);
+    auto answer =
+      this->Connect().Exchange({ .target = "/b/1", .id = id, .method = "POST", .body = "two" });
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->result_int() == 200U);
+    BOOST_TEST(this->RunsOf(id) == 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_answered_unknown_at_its_timeout_when_the_server_is_silent)
+{
+  this->Configure(2, [](Json::Value& aRoot) { aRoot["routes"][2]["timeout_ms"] = 300; });
+  this->ForServersOf(
+    "p", [](fakes::SearchServer& aServer) { aServer.SetBehaviour({ .silent = true }); });
+  BOOST_TEST(Await([this] {
+    auto answer = this->Connect().Exchange(
+      { .target = "/b/1", .id = "late", .method = "POST", .body = "two", .deadlineMs = 60000 });
+    return answer && answer->result_int() == 504U;
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(is_cancelled_at_the_server_when_its_caller_leaves)
+{
+  for (const auto& server : this->servers) {
+    server->SetBehaviour({ .work = 10s });
+  }
+  Caller caller = this->Connect();
+  caller.Send(Bytes({ .target = "/p/1", .id = "leaver" }));
+  BOOST_TEST(Await([this] { return this->RunsOf("leaver") == 1; }));
+  caller.Close();
+  // Whoever comes next finds the instance serving, and nothing was sent a second time.
+  std::this_thread::sleep_for(100ms);
+  BOOST_TEST(this->RunsOf("leaver") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_sent_where_another_server_took_the_address)
+{
+  this->store.Remove("servers", "p-a");
+  this->store.Remove("servers", "p-b");
+  Json::Value entry;
+  entry["service"] = "p";
+  entry["address"] = this->ServerOf("s0", 0).Address();
+  entry["zone"] = "a";
+  entry["slots"] = 1;
+  entry["state"] = "ready";
+  entry["cold_remaining_ms"] = 0;
+  this->store.Put("servers", "p-old", entry);
+  BOOST_TEST(Await([this] {
+    auto answer = this->Connect().Exchange({ .target = "/p/1", .id = "moved" });
+    return answer && answer->result_int() == 503U;
+  }));
+  BOOST_TEST(this->ServerOf("s0", 0).Runs().count("moved") == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
