--- a/libs/engine/include/engine/Asio.h
+++ b/libs/engine/include/engine/Asio.h
@@ -30,6 +30,9 @@
 std::optional<Tcp::endpoint>
 ParseEndpoint(const std::string& aText);
 
+std::string
+FormatEndpoint(const Tcp::endpoint& aEndpoint);
+
 /// Opens an acceptor at an address.
 ErrorCode
 Listen(Tcp::acceptor& aAcceptor, const Tcp::endpoint& aEndpoint);
--- a/libs/engine/include/engine/Instance.h
+++ b/libs/engine/include/engine/Instance.h
@@ -24,6 +24,10 @@
   /// Listens and starts following the store. Errors: an address cannot be used.
   std::error_code Start();
 
+  /// Where callers and the balancer connect, once started; port 0 in the settings takes a free one.
+  std::string CallerAddress() const;
+  std::string StatusAddress() const;
+
   /// Serves until it was asked to stop and has stopped. Precondition: Start succeeded.
   void Run();
 
--- a/libs/engine/include/engine/StatusServer.h
+++ b/libs/engine/include/engine/StatusServer.h
@@ -23,6 +23,8 @@
   /// Listens. Errors: the address cannot be used.
   std::error_code Start();
 
+  Tcp::endpoint LocalEndpoint() const { return this->acceptor.local_endpoint(); }
+
   void Stop();
 
 private:
--- a/libs/engine/src/Asio.cpp
+++ b/libs/engine/src/Asio.cpp
@@ -25,6 +25,12 @@
   return Tcp::endpoint(address, port);
 }
 
+std::string
+FormatEndpoint(const Tcp::endpoint& aEndpoint)
+{
+  return aEndpoint.address().to_string() + ":" + std::to_string(aEndpoint.port());
+}
+
 ErrorCode
 Listen(Tcp::acceptor& aAcceptor, const Tcp::endpoint& aEndpoint)
 {
--- a/libs/engine/src/Ingress.h
+++ b/libs/engine/src/Ingress.h
@@ -24,6 +24,8 @@
 
   std::error_code Start();
 
+  Tcp::endpoint LocalEndpoint() const { return this->acceptor.local_endpoint(); }
+
   /// From here on each connection is closed after its next answer.
   void BeginDraining();
 
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -82,6 +82,9 @@
     return {};
   }
 
+  std::string CallerAddress() const { return FormatEndpoint(this->ingress.LocalEndpoint()); }
+  std::string StatusAddress() const { return FormatEndpoint(this->status.LocalEndpoint()); }
+
   void Run() { this->loop.run(); }
 
   void Abort() { this->loop.stop(); }
@@ -192,6 +195,18 @@
   return this->impl->Start();
 }
 
+std::string
+Instance::CallerAddress() const
+{
+  return this->impl->CallerAddress();
+}
+
+std::string
+Instance::StatusAddress() const
+{
+  return this->impl->StatusAddress();
+}
+
 void
 Instance::Run()
 {
--- a/test/engine/EngineStage.cpp
+++ b/test/engine/EngineStage.cpp
@@ -16,14 +16,6 @@
 /// Far beyond what anything here takes, so that a busy machine does not fail a test.
 constexpr auto kPatience = std::chrono::seconds(30);
 
-uint16_t
-FreePort()
-{
-  asio::io_context loop;
-  engine::Tcp::acceptor probe(loop, engine::Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-  return probe.local_endpoint().port();
-}
-
 Json::Value
 MakeRoute(const std::string& aName, const std::string& aPrefix, const std::string& aType)
 {
@@ -147,8 +139,6 @@
 
 EngineStage::EngineStage()
   : store(this->loop)
-  , callerAddress("127.0.0.1:" + std::to_string(FreePort()))
-  , statusAddress("127.0.0.1:" + std::to_string(FreePort()))
 {
   std::vector<std::string> services = { "p" };
   for (size_t shard = 0; shard < kShards; ++shard) {
@@ -183,8 +173,8 @@
   engine::Settings settings{ .instance = "instance-1",
                              .zone = "a",
                              .regions = { { "a", "r" }, { "b", "r" } },
-                             .callerAddress = this->callerAddress,
-                             .statusAddress = this->statusAddress,
+                             .callerAddress = "127.0.0.1:0",
+                             .statusAddress = "127.0.0.1:0",
                              .storeAddress = this->store.Address(),
                              .maxDescriptors = 512,
                              .extraShare = 0.2,
@@ -196,6 +186,8 @@
   if (std::error_code error = this->instance->Start()) {
     throw std::system_error(error);
   }
+  this->callerAddress = this->instance->CallerAddress();
+  this->statusAddress = this->instance->StatusAddress();
   this->running = true;
   this->thread = std::thread([this] {
     this->instance->Run();
