Follow the store through two mirrors a region once a region has more than four instances

Ruled out: longer waits, which the bounds on leaving servers forbid. Two instances a region, the same at every instance that sees the same entries, follow the store and pass its answers on byte for byte; a mirror that has not heard from the store lately turns its followers away. Sites of up to four instances a region follow the store as before.

--- a/libs/directory/src/Census.cpp
+++ b/libs/directory/src/Census.cpp
@@ -1,27 +1,70 @@
 #include <directory/Census.h>
 
 #include <algorithm>
+#include <base/Random.h>
 
 namespace sapphirewind::directory {
 
+namespace {
+
+bool
+IsLive(const Census& aCensus, const Census::Sighting& aSighting, base::Instant aNow)
+{
+  base::Duration lifetime = BeatInterval(aCensus.sightings.size()) * kBeatsToLive;
+  return aNow - aSighting.changedAt < lifetime;
+}
+
+} // namespace
+
 void
-Observe(Census& aCensus, const std::string& aName, uint64_t aRevision, base::Instant aNow)
+Observe(Census& aCensus, const InstanceEntry& aEntry, base::Instant aNow)
 {
-  auto [sighting, isNew] = aCensus.sightings.try_emplace(aName);
-  if (isNew || aRevision > sighting->second.revision) {
-    sighting->second = { .revision = aRevision, .changedAt = aNow };
+  auto [sighting, isNew] = aCensus.sightings.try_emplace(aEntry.name);
+  if (isNew || aEntry.revision > sighting->second.entry.revision) {
+    sighting->second = { .entry = aEntry, .changedAt = aNow };
   }
 }
 
+base::Duration
+BeatInterval(size_t aInstances)
+{
+  return std::max<base::Duration>(kLeastBeatInterval,
+                                  kBeatSpacing * static_cast<int64_t>(aInstances));
+}
+
 size_t
 CountLive(const Census& aCensus, base::Instant aNow)
 {
   return static_cast<size_t>(
     std::count_if(aCensus.sightings.begin(), aCensus.sightings.end(), [&](const auto& aEntry) {
-      return aNow - aEntry.second.changedAt < kBeatLifetime;
+      return IsLive(aCensus, aEntry.second, aNow);
     }));
 }
 
+std::vector<InstanceEntry>
+ChooseMirrors(const Census& aCensus,
+              const std::string& aRegion,
+              size_t aCount,
+              base::Instant aNow)
+{
+  std::vector<InstanceEntry> mirrors;
+  for (const auto& [name, sighting] : aCensus.sightings) {
+    bool reachable = sighting.entry.region == aRegion && !sighting.entry.address.empty();
+    if (reachable && IsLive(aCensus, sighting, aNow)) {
+      mirrors.push_back(sighting.entry);
+    }
+  }
+  if (mirrors.size() <= kMostDirectFollowers) {
+    return {};
+  }
+  std::sort(mirrors.begin(), mirrors.end(), [](const auto& aLeft, const auto& aRight) {
+    return std::pair(base::Hash64(aLeft.name), aLeft.name) <
+           std::pair(base::Hash64(aRight.name), aRight.name);
+  });
+  mirrors.resize(std::min(aCount, mirrors.size()));
+  return mirrors;
+}
+
 std::vector<std::string>
 TakeExpired(Census& aCensus, base::Instant aNow)
 {
--- a/libs/engine/include/engine/StatusServer.h
+++ b/libs/engine/include/engine/HttpServer.h
@@ -1,32 +1,33 @@
-/// @file Serves /ready to the balancer and /metrics to whoever watches the instance.
+/// @file A small HTTP server for an instance's own pages: the balancer's question, the metrics, and
+/// what it passes on to other instances.
 #pragma once
 
-#include <engine/Metrics.h>
 #include <engine/Asio.h>
 #include <functional>
 
 namespace sapphirewind::engine {
 
-class StatusServer
+class HttpServer
 {
 public:
+  using Respond = std::function<void(HttpResponse&&)>;
+  /// Answers a request now or later, once.
+  using Handler = std::function<void(const HttpRequest&, Respond)>;
+
   struct Options
   {
     Loop& loop;
     Tcp::endpoint endpoint;
-    std::function<bool()> isReady;
-    const Metrics& metrics;
+    Handler handler;
   };
 
-  explicit StatusServer(Options aOptions);
+  explicit HttpServer(Options aOptions);
 
   /// Listens. Errors: the address cannot be used.
   std::error_code Start();
 
   Tcp::endpoint LocalEndpoint() const { return this->acceptor.local_endpoint(); }
 
-  void Stop();
-
 private:
   void Accept();
 
--- a/libs/engine/include/engine/Settings.h
+++ b/libs/engine/include/engine/Settings.h
@@ -19,6 +19,8 @@
   std::string callerAddress;
   /// Where /ready and /metrics are served.
   std::string statusAddress;
+  /// Where other instances ask for what this one heard from the store.
+  std::string peerAddress;
   std::string storeAddress;
   /// Descriptors that connections may use.
   unsigned maxDescriptors = 1024;
@@ -29,6 +31,8 @@
   /// How long a watch at the store may wait. A connection that fell silent is noticed a little
   /// later, which must be well before a server that leaves may get no more requests.
   base::Duration watchWait = std::chrono::seconds(2);
+  /// How long a leaving server may still get requests; bounds how old second-hand news may be.
+  base::Duration drain = std::chrono::seconds(3);
   /// From the request to stop to the forced end.
   base::Duration stopWithin = std::chrono::seconds(6);
 
--- a/libs/engine/include/engine/StoreFollower.h
+++ b/libs/engine/include/engine/StoreFollower.h
@@ -11,6 +11,15 @@
 
 namespace sapphirewind::engine {
 
+/// Where a follower asks: the store, or an instance that mirrors it.
+struct StoreSource
+{
+  Tcp::endpoint endpoint;
+  bool isMirror = false;
+  /// How long a watch may wait there.
+  base::Duration watchWait{ 0 };
+};
+
 class StoreFollower : public std::enable_shared_from_this<StoreFollower>
 {
 public:
@@ -19,10 +28,16 @@
     Loop& loop;
     const StoreCodec& codec;
     StoreKind kind = StoreKind::Configuration;
-    StoreConnection::Options connection;
     base::Random& random;
-    /// How long a watch may wait for a change.
-    base::Duration watchWait{ 0 };
+    Metrics& metrics;
+    /// Where to make the next call.
+    std::function<StoreSource()> chooseSource;
+    /// A mirror did not answer or could not.
+    std::function<void(const StoreSource&)> onMirrorFailed;
+    /// A page of a list by the name that it continues after, and a watch's answer: the bytes, for
+    /// others that follow this instance.
+    std::function<void(const std::string&, std::shared_ptr<const std::string>)> onPageBody;
+    std::function<void(uint64_t, bool, std::shared_ptr<const std::string>)> onChangesBody;
     /// A whole list, with the store's revision that it reflects.
     std::function<void(const std::vector<StoredObject>&, uint64_t)> onList;
     /// Changes, in order.
@@ -38,17 +53,24 @@
   void Start();
   void Stop();
 
+  /// Reads the whole list again before the next watch.
+  void ListAgain();
+
+  const StoreSource& Source() const { return this->source; }
+
 private:
   void Call();
   void OnAnswer(StoreAnswer&& aAnswer);
-  void OnListPage(const HttpResponse& aResponse);
-  void OnChanges(const HttpResponse& aResponse);
+  void UseSource(const StoreSource& aSource);
+  void OnListPage(HttpResponse&& aResponse);
+  void OnChanges(HttpResponse&& aResponse);
   void Fail(const char* aCause);
   void Succeed();
   void CallAfter(base::Duration aDelay);
 
   Options options;
   std::shared_ptr<StoreConnection> connection;
+  StoreSource source;
   Timer pauseTimer;
   bool listing = true;
   bool lost = false;
--- /dev/null
+++ b/libs/engine/include/engine/StoreMirror.h
@@ -0,0 +1,89 @@
+/// @file What one instance keeps of the store's answers and passes on to instances nearby.
+///
+/// The store prices each call, a waiting watch as one, so a large fleet cannot follow it instance
+/// by instance. A few instances of each region follow the store; the others follow these. Answers
+/// are passed on byte for byte, with the store's own revisions, so that a follower may change its
+/// source at any time. A mirror that has not heard from the store lately says so at once.
+#pragma once
+
+#include <base/Time.h>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sapphirewind::engine {
+
+/// The kept answers about one kind of object. Plain state; the functions below decide.
+struct MirroredKind
+{
+  /// A watch's answer, good for whoever is at a revision from `from` on and before `to`.
+  struct Changes
+  {
+    uint64_t from = 0;
+    uint64_t to = 0;
+    std::shared_ptr<const std::string> body;
+  };
+
+  /// Pages of the last whole list by the name that they continue after.
+  std::map<std::string, std::shared_ptr<const std::string>> pages;
+  /// Pages of the list that is being read.
+  std::map<std::string, std::shared_ptr<const std::string>> pagesToCome;
+  uint64_t listRevision = 0;
+  uint64_t revision = 0;
+  std::deque<Changes> history;
+  /// When the store last answered.
+  base::Instant heardAt{};
+  bool hasList = false;
+};
+
+/// Answers kept since the last list; with more, the list is read anew. Configurations may hold a
+/// megabyte, so it is bytes that bound the memory.
+constexpr size_t kMostMirroredBytes = 4 * 1024 * 1024;
+
+void
+OnMirroredPage(MirroredKind& aKind,
+               const std::string& aAfter,
+               std::shared_ptr<const std::string> aBody,
+               base::Instant aNow);
+
+/// The list whose pages came before is whole.
+void
+OnMirroredList(MirroredKind& aKind, uint64_t aRevision);
+
+/// A watch was answered; an answer without changes only proves that the store is there.
+void
+OnMirroredChanges(MirroredKind& aKind,
+                  uint64_t aTo,
+                  bool aHasChanges,
+                  std::shared_ptr<const std::string> aBody,
+                  base::Instant aNow);
+
+/// What a mirror says to a watch.
+enum class MirrorVerdict
+{
+  Changes, ///< There is an answer.
+  Wait,    ///< Nothing newer yet.
+  Gone     ///< Too old: list anew.
+};
+
+struct MirrorAnswer
+{
+  MirrorVerdict verdict = MirrorVerdict::Wait;
+  std::shared_ptr<const std::string> body;
+};
+
+MirrorAnswer
+FindChanges(const MirroredKind& aKind, uint64_t aRevision);
+
+/// Whether the store answered within a time, so that what is kept may be passed on as current.
+bool
+IsFresh(const MirroredKind& aKind, base::Duration aWithin, base::Instant aNow);
+
+/// Whether so much is kept that the list should be read anew.
+bool
+IsOverfull(const MirroredKind& aKind);
+
+} // namespace sapphirewind::engine
--- a/libs/engine/include/engine/Wire.h
+++ b/libs/engine/include/engine/Wire.h
@@ -2,6 +2,7 @@
 /// on the wire are known only to the codec that is plugged in.
 #pragma once
 
+#include <directory/Census.h>
 #include <directory/Configuration.h>
 #include <directory/ServerTable.h>
 #include <dispatch/Upstream.h>
@@ -83,13 +84,15 @@
   Servers
 };
 
-/// One instance's own entry in the store.
-struct RegisteredInstance
+/// A call to read the store, as another instance makes it to a mirror.
+struct StoreQuery
 {
-  std::string name;
-  uint64_t revision = 0;
-
-  auto operator<=>(const RegisteredInstance&) const = default;
+  StoreKind kind = StoreKind::Configuration;
+  /// Set for a watch: the revision to watch from, and how long to wait.
+  std::optional<uint64_t> watchFrom;
+  base::Duration wait{ 0 };
+  /// For a list: the name to continue after.
+  std::string after;
 };
 
 /// Writes the targets of calls to the store and reads its answers. Empty when malformed.
@@ -104,8 +107,11 @@
   /// One instance's entry; without a name the place to create one.
   std::string (*instanceTarget)(const std::string& aName) = nullptr;
   /// An entry that differs from the one with another beat.
-  std::string (*writeInstance)(const std::string& aName, uint64_t aBeat) = nullptr;
-  std::optional<std::vector<RegisteredInstance>> (*readInstances)(const std::string& aBody) =
+  std::string (*writeInstance)(const directory::InstanceEntry&, uint64_t aBeat) = nullptr;
+  /// A watch's answer that says that nothing changed since a revision.
+  std::string (*writeNoChanges)(uint64_t aRevision) = nullptr;
+  std::optional<StoreQuery> (*readQuery)(const std::string& aTarget) = nullptr;
+  std::optional<std::vector<directory::InstanceEntry>> (*readInstances)(const std::string& aBody) =
     nullptr;
 };
 
--- a/libs/engine/src/StatusServer.cpp
+++ b/libs/engine/src/HttpServer.cpp
@@ -1,20 +1,20 @@
-#include <engine/StatusServer.h>
+#include <engine/HttpServer.h>
 
 namespace sapphirewind::engine {
 
 namespace {
 
-/// A connection without a request for this long is closed; the balancer asks once a second.
-constexpr base::Duration kIdleTimeout = std::chrono::seconds(10);
+/// A connection without a request for this long is closed; whoever asks here asks every few seconds.
+constexpr base::Duration kIdleTimeout = std::chrono::seconds(30);
 
 /// One connection; requests are answered in turn.
-class StatusSession : public std::enable_shared_from_this<StatusSession>
+class HttpServerSession : public std::enable_shared_from_this<HttpServerSession>
 {
 public:
-  StatusSession(const StatusServer::Options& aOptions, Tcp::socket aSocket)
-    : options(aOptions)
+  HttpServerSession(HttpServer::Handler aHandler, Loop& aLoop, Tcp::socket aSocket)
+    : handler(std::move(aHandler))
     , socket(std::move(aSocket))
-    , timer(aOptions.loop)
+    , timer(aLoop)
   {
   }
 
@@ -33,25 +33,17 @@
         self->Close();
         return;
       }
-      self->Answer();
+      self->handler(self->request,
+                    [self](HttpResponse&& aResponse) { self->Write(std::move(aResponse)); });
     });
   }
 
 private:
-  void Answer()
+  void Write(HttpResponse&& aResponse)
   {
-    this->response = HttpResponse(http::status::ok, 11);
+    this->response = std::move(aResponse);
+    this->response.version(11);
     this->response.keep_alive(this->request.keep_alive());
-    if (this->request.target() == "/metrics") {
-      this->response.set(http::field::content_type, "text/plain; version=0.0.4");
-      this->response.body() = this->options.metrics.Write();
-    } else if (this->request.target() == "/ready") {
-      bool ready = this->options.isReady();
-      this->response.result(ready ? http::status::ok : http::status::service_unavailable);
-      this->response.body() = ready ? "ready\n" : "not ready\n";
-    } else {
-      this->response.result(http::status::not_found);
-    }
     this->response.prepare_payload();
     auto self = this->shared_from_this();
     http::async_write(this->socket, this->response, [self](ErrorCode aError, size_t) {
@@ -70,7 +62,7 @@
     this->socket.close(ignored);
   }
 
-  const StatusServer::Options& options;
+  HttpServer::Handler handler;
   Tcp::socket socket;
   Timer timer;
   boost::beast::flat_buffer buffer;
@@ -80,14 +72,14 @@
 
 } // namespace
 
-StatusServer::StatusServer(Options aOptions)
+HttpServer::HttpServer(Options aOptions)
   : options(std::move(aOptions))
   , acceptor(this->options.loop)
 {
 }
 
 std::error_code
-StatusServer::Start()
+HttpServer::Start()
 {
   ErrorCode error = Listen(this->acceptor, this->options.endpoint);
   if (!error) {
@@ -97,21 +89,16 @@
 }
 
 void
-StatusServer::Stop()
-{
-  ErrorCode ignored; // The process ends next.
-  this->acceptor.close(ignored);
-}
-
-void
-StatusServer::Accept()
+HttpServer::Accept()
 {
   this->acceptor.async_accept([this](ErrorCode aError, Tcp::socket aSocket) {
     if (aError == asio::error::operation_aborted) {
       return;
     }
     if (!aError) {
-      std::make_shared<StatusSession>(this->options, std::move(aSocket))->Read();
+      std::make_shared<HttpServerSession>(
+        this->options.handler, this->options.loop, std::move(aSocket))
+        ->Read();
     }
     this->Accept();
   });
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <engine/StatusServer.h>
+#include <engine/HttpServer.h>
 #include <set>
 #include <telemetry/Events.h>
 
@@ -22,9 +22,19 @@
 constexpr base::Duration kNotice = std::chrono::milliseconds(2500);
 /// The process ends this long before it would be killed.
 constexpr base::Duration kStopMargin = std::chrono::milliseconds(700);
+/// A watch that others depend on, or that depends on another's, waits for this part of the time
+/// within which a leaving server must get no more requests: news may pass two such waits.
+constexpr int kMirrorWaitPart = 3;
 /// How often a stopping instance looks whether its last caller has left.
 constexpr base::Duration kStopPoll = std::chrono::milliseconds(50);
 
+std::string
+RegionOf(const Settings& aSettings)
+{
+  auto region = aSettings.regions.find(aSettings.zone);
+  return region == aSettings.regions.end() ? aSettings.zone : region->second;
+}
+
 } // namespace
 
 class Instance::Impl
@@ -48,16 +58,22 @@
                             .codec = aOptions.store,
                             .storeAddress = this->settings.storeAddress,
                             .instance = this->settings.instance,
+                            .region = RegionOf(this->settings),
+                            .peerEndpoint = *ParseEndpoint(this->settings.peerAddress),
                             .watchWait = this->settings.watchWait,
+                            .mirrorWait = this->settings.drain / kMirrorWaitPart,
                             .onUsable = [this] { this->OnUsable(); } })
     , ingress(Ingress::Options{ .context = this->context,
                                 .world = this->world,
                                 .endpoint = *ParseEndpoint(this->settings.callerAddress),
                                 .maxSessions = this->settings.maxDescriptors / 2 })
-    , status(StatusServer::Options{ .loop = this->loop,
-                                    .endpoint = *ParseEndpoint(this->settings.statusAddress),
-                                    .isReady = [this] { return this->IsReady(); },
-                                    .metrics = this->metrics })
+    , status(HttpServer::Options{
+        .loop = this->loop,
+        .endpoint = *ParseEndpoint(this->settings.statusAddress),
+        .handler = [this](const HttpRequest& aRequest,
+                          const HttpServer::Respond& aRespond) {
+          aRespond(this->StatusPage(aRequest));
+        } })
     , signals(this->loop, SIGTERM, SIGINT, SIGHUP)
     , housekeeping(this->loop)
     , stopTimer(this->loop)
@@ -72,8 +88,10 @@
     if (std::error_code error = this->ingress.Start()) {
       return error;
     }
+    if (std::error_code error = this->world.Start()) {
+      return error;
+    }
     this->AwaitSignal();
-    this->world.Start();
     this->KeepHouse();
     telemetry::Log(telemetry::Event::Started,
                    { { "instance", this->settings.instance },
@@ -115,6 +133,22 @@
 private:
   bool IsReady() const { return !this->ingress.IsDraining() && this->world.IsUsable(); }
 
+  HttpResponse StatusPage(const HttpRequest& aRequest) const
+  {
+    HttpResponse response(http::status::ok, 11);
+    if (aRequest.target() == "/metrics") {
+      response.set(http::field::content_type, "text/plain; version=0.0.4");
+      response.body() = this->metrics.Write();
+    } else if (aRequest.target() == "/ready") {
+      bool ready = this->IsReady();
+      response.result(ready ? http::status::ok : http::status::service_unavailable);
+      response.body() = ready ? "ready\n" : "not ready\n";
+    } else {
+      response.result(http::status::not_found);
+    }
+    return response;
+  }
+
   void AwaitSignal()
   {
     this->signals.async_wait([this](ErrorCode aError, int aSignal) {
@@ -175,7 +209,7 @@
   EngineContext context;
   World world;
   Ingress ingress;
-  StatusServer status;
+  HttpServer status;
   asio::signal_set signals;
   Timer housekeeping;
   Timer stopTimer;
--- /dev/null
+++ b/libs/engine/src/MirrorServer.cpp
@@ -0,0 +1,155 @@
+#include "MirrorServer.h"
+
+namespace sapphirewind::engine {
+
+namespace {
+
+HttpResponse
+WithBody(const std::string& aBody)
+{
+  HttpResponse response(http::status::ok, 11);
+  response.set(http::field::content_type, "application/json");
+  response.body() = aBody;
+  return response;
+}
+
+HttpResponse
+WithStatus(http::status aStatus)
+{
+  return HttpResponse(aStatus, 11);
+}
+
+} // namespace
+
+MirrorServer::MirrorServer(Options aOptions)
+  : options(std::move(aOptions))
+  , server(HttpServer::Options{
+      .loop = this->options.loop,
+      .endpoint = this->options.endpoint,
+      .handler =
+        [this](const HttpRequest& aRequest, HttpServer::Respond aRespond) {
+          this->Handle(aRequest, std::move(aRespond));
+        } })
+{
+}
+
+std::error_code
+MirrorServer::Start()
+{
+  return this->server.Start();
+}
+
+MirroredKind&
+MirrorServer::Kind(StoreKind aKind)
+{
+  return aKind == StoreKind::Servers ? this->servers : this->configurations;
+}
+
+bool
+MirrorServer::MayPassOn(StoreKind aKind)
+{
+  return this->options.followsStore(aKind) &&
+         IsFresh(this->Kind(aKind), this->options.freshness, base::Now());
+}
+
+void
+MirrorServer::Handle(const HttpRequest& aRequest, HttpServer::Respond aRespond)
+{
+  auto query = this->options.codec.readQuery(std::string(aRequest.target()));
+  if (!query || aRequest.method() != http::verb::get) {
+    aRespond(WithStatus(http::status::not_found));
+    return;
+  }
+  if (!this->MayPassOn(query->kind)) {
+    aRespond(WithStatus(http::status::service_unavailable));
+    return;
+  }
+  if (query->watchFrom) {
+    this->Watch(*query, std::move(aRespond));
+  } else {
+    this->List(*query, aRespond);
+  }
+}
+
+void
+MirrorServer::List(const StoreQuery& aQuery, const HttpServer::Respond& aRespond)
+{
+  const MirroredKind& kind = this->Kind(aQuery.kind);
+  auto page = kind.pages.find(aQuery.after);
+  aRespond(page == kind.pages.end() ? WithStatus(http::status::service_unavailable)
+                                    : WithBody(*page->second));
+}
+
+void
+MirrorServer::Watch(const StoreQuery& aQuery, HttpServer::Respond aRespond)
+{
+  MirrorAnswer answer = FindChanges(this->Kind(aQuery.kind), *aQuery.watchFrom);
+  switch (answer.verdict) {
+    case MirrorVerdict::Gone:
+      aRespond(WithStatus(http::status::gone));
+      return;
+    case MirrorVerdict::Changes:
+      aRespond(WithBody(*answer.body));
+      return;
+    case MirrorVerdict::Wait:
+      this->Wait(aQuery, std::move(aRespond));
+      return;
+  }
+}
+
+void
+MirrorServer::Wait(const StoreQuery& aQuery, HttpServer::Respond aRespond)
+{
+  auto entry = this->waiting.insert(this->waiting.end(),
+                                    Waiting{ .kind = aQuery.kind,
+                                             .revision = *aQuery.watchFrom,
+                                             .respond = std::move(aRespond),
+                                             .timer = Timer(this->options.loop) });
+  entry->timer.expires_after(aQuery.wait);
+  entry->timer.async_wait([this, entry](ErrorCode aError) {
+    if (aError) {
+      return;
+    }
+    HttpServer::Respond respond = std::move(entry->respond);
+    uint64_t revision = entry->revision;
+    bool current = this->MayPassOn(entry->kind);
+    this->waiting.erase(entry);
+    respond(current ? WithBody(this->options.codec.writeNoChanges(revision))
+                    : WithStatus(http::status::service_unavailable));
+  });
+}
+
+void
+MirrorServer::WakeWaiting(StoreKind aKind)
+{
+  for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
+    auto current = entry++;
+    if (current->kind != aKind) {
+      continue;
+    }
+    MirrorAnswer answer = FindChanges(this->Kind(aKind), current->revision);
+    if (answer.verdict == MirrorVerdict::Wait) {
+      continue;
+    }
+    HttpServer::Respond respond = std::move(current->respond);
+    this->waiting.erase(current);
+    respond(answer.verdict == MirrorVerdict::Changes ? WithBody(*answer.body)
+                                                     : WithStatus(http::status::gone));
+  }
+}
+
+void
+MirrorServer::TurnAway(StoreKind aKind)
+{
+  for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
+    auto current = entry++;
+    if (current->kind != aKind) {
+      continue;
+    }
+    HttpServer::Respond respond = std::move(current->respond);
+    this->waiting.erase(current);
+    respond(WithStatus(http::status::service_unavailable));
+  }
+}
+
+} // namespace sapphirewind::engine
--- a/libs/engine/src/Registry.cpp
+++ b/libs/engine/src/Registry.cpp
@@ -42,8 +42,8 @@
 {
   ++this->beat;
   this->Make({ .method = http::verb::put,
-               .target = this->options.codec.instanceTarget(this->options.instance),
-               .body = this->options.codec.writeInstance(this->options.instance, this->beat) },
+               .target = this->options.codec.instanceTarget(this->options.entry.name),
+               .body = this->options.codec.writeInstance(this->options.entry, this->beat) },
              &Registry::OnBeaten);
 }
 
@@ -67,7 +67,7 @@
 {
   this->Make({ .method = http::verb::post,
                .target = this->options.codec.instanceTarget(""),
-               .body = this->options.codec.writeInstance(this->options.instance, this->beat) },
+               .body = this->options.codec.writeInstance(this->options.entry, this->beat) },
              &Registry::OnCreated);
 }
 
@@ -106,10 +106,10 @@
     return;
   }
   base::Instant now = base::Now();
-  for (const RegisteredInstance& instance : *instances) {
-    directory::Observe(this->census, instance.name, instance.revision, now);
+  for (const directory::InstanceEntry& entry : *instances) {
+    directory::Observe(this->census, entry, now);
   }
-  this->options.onCount(directory::CountLive(this->census, now));
+  this->options.onCensus(this->census);
   this->expired = directory::TakeExpired(this->census, now);
   this->RemoveExpired();
 }
@@ -118,7 +118,7 @@
 Registry::RemoveExpired()
 {
   if (this->expired.empty()) {
-    this->BeatAfter(directory::kBeatInterval);
+    this->BeatAfter(directory::BeatInterval(this->census.sightings.size()));
     return;
   }
   std::string name = this->expired.back();
--- a/libs/engine/src/Registry.h
+++ b/libs/engine/src/Registry.h
@@ -15,10 +15,11 @@
     Loop& loop;
     const StoreCodec& codec;
     StoreConnection::Options connection;
-    std::string instance;
+    /// This instance's entry.
+    directory::InstanceEntry entry;
     base::Random& random;
-    /// Told after each count.
-    std::function<void(size_t)> onCount;
+    /// Told after each list of the instances.
+    std::function<void(const directory::Census&)> onCensus;
   };
 
   explicit Registry(Options aOptions);
--- a/libs/engine/src/Settings.cpp
+++ b/libs/engine/src/Settings.cpp
@@ -56,11 +56,13 @@
   settings.zone = reader.RequiredText("zone");
   settings.callerAddress = ReadAddress(reader, "listen_callers");
   settings.statusAddress = ReadAddress(reader, "listen_status");
+  settings.peerAddress = ReadAddress(reader, "listen_peers");
   settings.storeAddress = ReadAddress(reader, "store");
   settings.maxDescriptors =
     static_cast<unsigned>(reader.RequiredInteger("max_descriptors", 64, kMostDescriptors));
   base::Duration stability = reader.RequiredDuration("stability_window");
   settings.watchWait = std::max<base::Duration>(kLeastWatchWait, stability - kSilenceMargin);
+  settings.drain = reader.RequiredDuration("drain");
   settings.stopWithin = reader.RequiredDuration("stop_within");
   if (const Json::Value* regions = reader.RequiredObject("regions")) {
     for (const std::string& zone : regions->getMemberNames()) {
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -10,6 +10,8 @@
 /// What a call may take beyond its own wait; the store answers in milliseconds, and within a few
 /// hundred when it is slow.
 constexpr base::Duration kCallTimeout = std::chrono::milliseconds(800);
+/// The pause before another source is asked.
+constexpr base::Duration kOtherSource = std::chrono::milliseconds(10);
 /// Changes that come in quick succession are taken in together after this pause.
 constexpr base::Duration kWatchPause = std::chrono::milliseconds(200);
 /// The pause after a failed call, doubled with each further one up to the longest, with jitter.
@@ -20,7 +22,6 @@
 
 StoreFollower::StoreFollower(Options aOptions)
   : options(std::move(aOptions))
-  , connection(std::make_shared<StoreConnection>(this->options.connection))
   , pauseTimer(this->options.loop)
 {
 }
@@ -36,19 +37,49 @@
 {
   this->stopped = true;
   this->pauseTimer.cancel();
-  this->connection->Stop();
+  if (this->connection) {
+    this->connection->Stop();
+  }
+}
+
+void
+StoreFollower::ListAgain()
+{
+  this->listing = true;
+  this->listAfter.clear();
+}
+
+void
+StoreFollower::UseSource(const StoreSource& aSource)
+{
+  bool same = this->connection && this->source.endpoint == aSource.endpoint;
+  this->source = aSource;
+  if (same) {
+    return;
+  }
+  if (this->connection) {
+    this->connection->Stop();
+  }
+  // A list that was begun elsewhere cannot be continued here.
+  this->listAfter.clear();
+  this->connection = std::make_shared<StoreConnection>(
+    StoreConnection::Options{ .loop = this->options.loop,
+                              .endpoint = aSource.endpoint,
+                              .host = FormatEndpoint(aSource.endpoint),
+                              .metrics = this->options.metrics });
 }
 
 void
 StoreFollower::Call()
 {
+  this->UseSource(this->options.chooseSource());
   StoreConnection::Call call{ .timeout = kCallTimeout };
   if (this->listing) {
     call.target = this->options.codec.listTarget(this->options.kind, this->listAfter);
   } else {
     call.target =
-      this->options.codec.watchTarget(this->options.kind, this->revision, this->options.watchWait);
-    call.timeout += this->options.watchWait;
+      this->options.codec.watchTarget(this->options.kind, this->revision, this->source.watchWait);
+    call.timeout += this->source.watchWait;
   }
   this->connection->Make(std::move(call), [self = this->shared_from_this()](StoreAnswer&& aAnswer) {
     self->OnAnswer(std::move(aAnswer));
@@ -62,7 +93,7 @@
     this->Fail(aAnswer.cause);
     return;
   }
-  const HttpResponse& response = *aAnswer.response;
+  HttpResponse& response = *aAnswer.response;
   if (response.result() == http::status::gone && !this->listing) {
     telemetry::Log(telemetry::Event::StoreHistoryGone,
                    { { "kind", std::to_string(static_cast<int>(this->options.kind)) },
@@ -77,14 +108,14 @@
     return;
   }
   if (this->listing) {
-    this->OnListPage(response);
+    this->OnListPage(std::move(response));
   } else {
-    this->OnChanges(response);
+    this->OnChanges(std::move(response));
   }
 }
 
 void
-StoreFollower::OnListPage(const HttpResponse& aResponse)
+StoreFollower::OnListPage(HttpResponse&& aResponse)
 {
   std::optional<StorePage> page =
     this->options.codec.readList(this->options.kind, aResponse.body());
@@ -98,6 +129,8 @@
     // Changes between the pages are seen by the watch, which starts before them.
     this->listRevision = page->revision;
   }
+  this->options.onPageBody(this->listAfter,
+                           std::make_shared<std::string>(std::move(aResponse.body())));
   std::move(page->objects.begin(), page->objects.end(), std::back_inserter(this->listed));
   this->listAfter = page->continueAfter;
   if (!this->listAfter.empty()) {
@@ -112,7 +145,7 @@
 }
 
 void
-StoreFollower::OnChanges(const HttpResponse& aResponse)
+StoreFollower::OnChanges(HttpResponse&& aResponse)
 {
   std::optional<StorePage> page =
     this->options.codec.readChanges(this->options.kind, aResponse.body());
@@ -121,6 +154,9 @@
     return;
   }
   this->Succeed();
+  this->options.onChangesBody(page->revision,
+                              !page->objects.empty(),
+                              std::make_shared<std::string>(std::move(aResponse.body())));
   this->revision = std::max(this->revision, page->revision);
   if (!page->objects.empty()) {
     this->options.onChanges(page->objects);
@@ -132,6 +168,11 @@
 StoreFollower::Fail(const char* aCause)
 {
   this->listAfter.clear();
+  if (this->source.isMirror) {
+    this->options.onMirrorFailed(this->source);
+    this->CallAfter(kOtherSource);
+    return;
+  }
   ++this->failuresInRow;
   if (!this->lost) {
     this->lost = true;
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -6,6 +6,19 @@
 
 namespace {
 
+/// Instances of a region that mirror the store for the others there: two, so that one may fail.
+constexpr size_t kMirrorsOfRegion = 2;
+/// What a mirror's own call may take beyond its wait before its news count as old.
+constexpr base::Duration kMirrorSlack = std::chrono::milliseconds(800);
+/// How long a mirror that failed is not asked again.
+constexpr base::Duration kMirrorAvoidance = std::chrono::seconds(3);
+
+const char*
+NameOf(StoreKind aKind)
+{
+  return aKind == StoreKind::Servers ? "servers" : "configuration";
+}
+
 void
 LogMalformed(const StoredObject& aObject)
 {
@@ -19,39 +32,65 @@
 
 World::World(Options aOptions)
   : options(std::move(aOptions))
+  , mirror(MirrorServer::Options{
+      .loop = this->options.context.loop,
+      .codec = this->options.codec,
+      .endpoint = this->options.peerEndpoint,
+      .freshness = this->options.mirrorWait + kMirrorSlack,
+      .followsStore =
+        [this](StoreKind aKind) { return !this->Follower(aKind).Source().isMirror; } })
 {
 }
 
-void
+std::error_code
 World::Start()
 {
+  if (std::error_code error = this->mirror.Start()) {
+    return error;
+  }
   this->configurationFollower = this->MakeFollower(StoreKind::Configuration);
   this->serverFollower = this->MakeFollower(StoreKind::Servers);
-  this->registry = std::make_shared<Registry>(
-    Registry::Options{ .loop = this->options.context.loop,
-                       .codec = this->options.codec,
-                       .connection = this->ConnectionOptions(),
-                       .instance = this->options.instance,
-                       .random = this->options.context.random,
-                       .onCount = [this](size_t aCount) { this->OnInstancesCounted(aCount); } });
+  this->registry = std::make_shared<Registry>(Registry::Options{
+    .loop = this->options.context.loop,
+    .codec = this->options.codec,
+    .connection = this->ConnectionOptions(),
+    .entry = { .name = this->options.instance,
+               .address = FormatEndpoint(this->mirror.LocalEndpoint()),
+               .region = this->options.region },
+    .random = this->options.context.random,
+    .onCensus = [this](const directory::Census& aCensus) { this->OnCensus(aCensus); } });
   this->registry->Start();
   this->configurationFollower->Start();
   this->serverFollower->Start();
+  return {};
 }
 
 std::shared_ptr<StoreFollower>
 World::MakeFollower(StoreKind aKind)
 {
   bool followsServers = aKind == StoreKind::Servers;
+  using Objects = std::vector<StoredObject>;
+  using Body = std::shared_ptr<const std::string>;
   return std::make_shared<StoreFollower>(StoreFollower::Options{
     .loop = this->options.context.loop,
     .codec = this->options.codec,
     .kind = aKind,
-    .connection = this->ConnectionOptions(),
     .random = this->options.context.random,
-    .watchWait = this->options.watchWait,
+    .metrics = this->options.context.metrics,
+    .chooseSource = [this] { return this->ChooseSource(); },
+    .onMirrorFailed = [this](const StoreSource& aSource) { this->OnMirrorFailed(aSource); },
+    .onPageBody =
+      [this, aKind](const std::string& aAfter, Body aBody) {
+        this->OnPageBody(aKind, aAfter, std::move(aBody));
+      },
+    .onChangesBody =
+      [this, aKind](uint64_t aTo, bool aHasChanges, Body aBody) {
+        this->OnChangesBody(aKind, aTo, aHasChanges, std::move(aBody));
+      },
     .onList =
-      [this, followsServers](const std::vector<StoredObject>& aObjects, uint64_t aRevision) {
+      [this, aKind, followsServers](const Objects& aObjects, uint64_t aRevision) {
+        OnMirroredList(this->mirror.Kind(aKind), aRevision);
+        this->mirror.WakeWaiting(aKind);
         if (followsServers) {
           this->OnServerList(aObjects, aRevision);
         } else {
@@ -59,30 +98,101 @@
         }
       },
     .onChanges =
-      [this, followsServers](const std::vector<StoredObject>& aObjects) {
+      [this, followsServers](const Objects& aObjects) {
         if (followsServers) {
           this->OnServerChanges(aObjects);
         } else {
           this->OnConfigurations(aObjects);
         }
       },
-    .onLost =
-      [this, followsServers](const char* aCause) {
-        telemetry::Log(
-          telemetry::Event::StoreLost,
-          { { "follows", followsServers ? "servers" : "configuration" }, { "why", aCause } });
-        if (followsServers) {
-          directory::OnStoreLost(this->servers);
-        }
-      },
-    .onReturned =
-      [this, followsServers] {
-        telemetry::Log(telemetry::Event::StoreBack,
-                       { { "follows", followsServers ? "servers" : "configuration" } });
-        if (followsServers) {
-          directory::OnStoreReturned(this->servers, base::Now());
-        }
-      } });
+    .onLost = [this, aKind](const char* aCause) { this->OnLost(aKind, aCause); },
+    .onReturned = [this, aKind] { this->OnReturned(aKind); } });
+}
+
+void
+World::OnLost(StoreKind aKind, const char* aCause)
+{
+  this->mirror.TurnAway(aKind);
+  telemetry::Log(telemetry::Event::StoreLost,
+                 { { "follows", NameOf(aKind) }, { "why", aCause } });
+  if (aKind == StoreKind::Servers) {
+    directory::OnStoreLost(this->servers);
+  }
+}
+
+void
+World::OnReturned(StoreKind aKind)
+{
+  telemetry::Log(telemetry::Event::StoreBack, { { "follows", NameOf(aKind) } });
+  if (aKind == StoreKind::Servers) {
+    directory::OnStoreReturned(this->servers, base::Now());
+  }
+}
+
+void
+World::OnPageBody(StoreKind aKind,
+                  const std::string& aAfter,
+                  std::shared_ptr<const std::string> aBody)
+{
+  OnMirroredPage(this->mirror.Kind(aKind), aAfter, std::move(aBody), base::Now());
+}
+
+void
+World::OnChangesBody(StoreKind aKind,
+                     uint64_t aTo,
+                     bool aHasChanges,
+                     std::shared_ptr<const std::string> aBody)
+{
+  MirroredKind& kind = this->mirror.Kind(aKind);
+  OnMirroredChanges(kind, aTo, aHasChanges, std::move(aBody), base::Now());
+  this->mirror.WakeWaiting(aKind);
+  if (IsOverfull(kind)) {
+    this->Follower(aKind).ListAgain();
+  }
+}
+
+StoreFollower&
+World::Follower(StoreKind aKind) const
+{
+  return aKind == StoreKind::Servers ? *this->serverFollower : *this->configurationFollower;
+}
+
+StoreSource
+World::ChooseSource() const
+{
+  StoreSource store{ .endpoint = *ParseEndpoint(this->options.storeAddress),
+                     .watchWait = this->options.watchWait };
+  if (this->mirrors.empty()) {
+    return store;
+  }
+  // Others depend on this one's news, or it lacks a mirror and waits no longer than with one.
+  store.watchWait = std::min(this->options.watchWait, this->options.mirrorWait);
+  base::Instant now = base::Now();
+  size_t first = base::Hash64(this->options.instance) % this->mirrors.size();
+  for (const directory::InstanceEntry& entry : this->mirrors) {
+    if (entry.name == this->options.instance) {
+      return store;
+    }
+  }
+  for (size_t step = 0; step < this->mirrors.size(); ++step) {
+    const directory::InstanceEntry& entry = this->mirrors[(first + step) % this->mirrors.size()];
+    auto failure = this->mirrorFailures.find(entry.address);
+    bool failedLately =
+      failure != this->mirrorFailures.end() && now - failure->second < kMirrorAvoidance;
+    std::optional<Tcp::endpoint> endpoint = ParseEndpoint(entry.address);
+    if (!failedLately && endpoint) {
+      return { .endpoint = *endpoint, .isMirror = true, .watchWait = this->options.mirrorWait };
+    }
+  }
+  return store;
+}
+
+void
+World::OnMirrorFailed(const StoreSource& aSource)
+{
+  std::string address = FormatEndpoint(aSource.endpoint);
+  telemetry::Log(telemetry::Event::MirrorFailed, { { "mirror", address } });
+  this->mirrorFailures[address] = base::Now();
 }
 
 void
@@ -170,15 +280,20 @@
 }
 
 void
-World::OnInstancesCounted(size_t aInstances)
+World::OnCensus(const directory::Census& aCensus)
 {
-  if (aInstances == this->instances) {
+  base::Instant now = base::Now();
+  this->mirrors =
+    directory::ChooseMirrors(aCensus, this->options.region, kMirrorsOfRegion, now);
+  size_t count = directory::CountLive(aCensus, now);
+  if (count == this->instances) {
     return;
   }
-  this->instances = aInstances;
+  this->instances = count;
   telemetry::Log(telemetry::Event::InstancesCounted,
-                 { { "instances", std::to_string(aInstances) } });
-  this->options.context.fleet.SetInstances(aInstances);
+                 { { "instances", std::to_string(count) },
+                   { "mirrors", std::to_string(this->mirrors.size()) } });
+  this->options.context.fleet.SetInstances(count);
   this->UpdateFleet();
 }
 
--- a/libs/engine/src/World.h
+++ b/libs/engine/src/World.h
@@ -5,6 +5,7 @@
 #include <engine/ServiceCall.h>
 #include <engine/StoreFollower.h>
 
+#include "MirrorServer.h"
 #include "Registry.h"
 
 namespace sapphirewind::engine {
@@ -18,15 +19,20 @@
     StoreCodec codec;
     std::string storeAddress;
     std::string instance;
-    /// How long a watch may wait for a change.
+    std::string region;
+    Tcp::endpoint peerEndpoint;
+    /// How long a watch at the store may wait when nobody follows this instance.
     base::Duration watchWait{ 0 };
+    /// How long one may wait whose news others depend on, or that depends on another's.
+    base::Duration mirrorWait{ 0 };
     /// Called once requests can be served for the first time.
     std::function<void()> onUsable;
   };
 
   explicit World(Options aOptions);
 
-  void Start();
+  /// Listens for other instances and starts following. Errors: the address cannot be used.
+  std::error_code Start();
 
   /// Gives up entries whose grace is over.
   void KeepHouse(base::Instant aNow);
@@ -42,15 +48,27 @@
   void OnConfigurations(const std::vector<StoredObject>& aObjects);
   void OnServerList(const std::vector<StoredObject>& aObjects, uint64_t aRevision);
   void OnServerChanges(const std::vector<StoredObject>& aObjects);
-  void OnInstancesCounted(size_t aInstances);
+  void OnLost(StoreKind aKind, const char* aCause);
+  void OnReturned(StoreKind aKind);
+  void OnPageBody(StoreKind aKind, const std::string& aAfter, std::shared_ptr<const std::string>);
+  void OnChangesBody(StoreKind aKind, uint64_t, bool, std::shared_ptr<const std::string>);
+  StoreFollower& Follower(StoreKind aKind) const;
+  StoreSource ChooseSource() const;
+  void OnMirrorFailed(const StoreSource& aSource);
+  void OnCensus(const directory::Census& aCensus);
   void UpdateFleet();
   StoreConnection::Options ConnectionOptions() const;
 
   Options options;
+  MirrorServer mirror;
   std::shared_ptr<StoreFollower> configurationFollower;
   std::shared_ptr<StoreFollower> serverFollower;
   std::shared_ptr<Registry> registry;
   size_t instances = 0;
+  /// The instances of this region that mirror the store; empty when each follows it itself.
+  std::vector<directory::InstanceEntry> mirrors;
+  /// When a mirror last failed, by address.
+  std::map<std::string, base::Instant> mirrorFailures;
   bool wasUsable = false;
   std::shared_ptr<const directory::RouteTable> routes;
   directory::ServerTable servers;
--- a/libs/telemetry/include/telemetry/Events.h
+++ b/libs/telemetry/include/telemetry/Events.h
@@ -37,6 +37,7 @@
   StoreHistoryGone = 212,
   RegistrationFailed = 213,
   InstancesCounted = 214,
+  MirrorFailed = 215,
   MemberChanged = 300,
   RumourRefuted = 301,
   PeerMessageRefused = 302,
--- a/libs/telemetry/src/Events.cpp
+++ b/libs/telemetry/src/Events.cpp
@@ -137,6 +137,7 @@
     { Event::StoreHistoryGone, Level::Info, "StoreHistoryGone" },
     { Event::RegistrationFailed, Level::Warning, "RegistrationFailed" },
     { Event::InstancesCounted, Level::Info, "InstancesCounted" },
+    { Event::MirrorFailed, Level::Info, "MirrorFailed" },
     { Event::MemberChanged, Level::Info, "MemberChanged" },
     { Event::RumourRefuted, Level::Info, "RumourRefuted" },
     { Event::PeerMessageRefused, Level::Warning, "PeerMessageRefused" },
--- a/test/engine/EngineStage.cpp
+++ b/test/engine/EngineStage.cpp
@@ -175,6 +175,7 @@
                              .regions = { { "a", "r" }, { "b", "r" } },
                              .callerAddress = "127.0.0.1:0",
                              .statusAddress = "127.0.0.1:0",
+                             .peerAddress = "127.0.0.1:0",
                              .storeAddress = this->store.Address(),
                              .maxDescriptors = 512,
                              .extraShare = 0.2,
