Soak real instances under random faults: links, signals, the store, servers, planned work

Checks from what callers and servers see: no booking twice, true refusals, whole and own answers, true coverage, no 404 for what every configuration routes, and all instances ready and serving within 12 s of the last fault.

--- a/fakes/include/fakes/HttpStandIn.h
+++ b/fakes/include/fakes/HttpStandIn.h
@@ -59,7 +59,7 @@
   uint16_t Port() const { return this->port; }
   std::string Address() const { return "127.0.0.1:" + std::to_string(this->port); }
 
-  /// Ends all connections and refuses new ones, or serves again at the same port. Loop's thread.
+  /// Resets all connections, new ones at once, or serves again. Loop's thread.
   void SetDown(bool aDown);
 
 private:
@@ -67,12 +67,14 @@
 
   void Listen();
   void Accept();
+  void ResetSessions();
 
   StandInLoop& loop;
   Handler handler;
   std::unique_ptr<engine::Tcp::acceptor> acceptor;
   std::set<std::shared_ptr<Session>> sessions;
   uint16_t port;
+  bool down = false;
 };
 
 } // namespace sapphirewind::fakes
--- a/fakes/include/fakes/Relay.h
+++ b/fakes/include/fakes/Relay.h
@@ -28,6 +28,8 @@
   uint64_t BytesCarried() const;
   /// Bytes wait until released.
   void SetHold(bool aHold);
+  /// Bytes from the target wait until released; those towards it pass.
+  void SetHoldAnswers(bool aHold);
   /// Breaks open connections and refuses new ones while set.
   void SetCut(bool aCut);
 
--- a/fakes/include/fakes/SearchServer.h
+++ b/fakes/include/fakes/SearchServer.h
@@ -45,8 +45,10 @@
   void SetBehaviour(const ServerBehaviour& aBehaviour);
   void SetDown(bool aDown);
 
-  /// Writes this server's entry to the store.
-  void Register(ObjectStore& aStore, const std::string& aState = "ready") const;
+  /// Writes this server's entry to the store, with another address if it is reached over a link.
+  void Register(ObjectStore& aStore,
+                const std::string& aState = "ready",
+                const std::string& aAddress = "") const;
 
   /// How often each request ran here.
   std::map<std::string, int> Runs() const;
--- a/fakes/src/HttpStandIn.cpp
+++ b/fakes/src/HttpStandIn.cpp
@@ -74,8 +74,6 @@
     }
   }
 
-  void Forget() { this->owner = nullptr; }
-
 private:
   void Reply(StandInReply aReply)
   {
@@ -138,10 +136,8 @@
 HttpStandIn::~HttpStandIn()
 {
   this->loop.Run([this] {
-    this->SetDown(true);
-    for (const auto& session : this->sessions) {
-      session->Forget();
-    }
+    this->acceptor.reset();
+    this->ResetSessions();
   });
 }
 
@@ -157,13 +153,15 @@
 void
 HttpStandIn::SetDown(bool aDown)
 {
-  if (!aDown && !this->acceptor) {
-    this->Listen();
-  }
-  if (!aDown) {
-    return;
+  this->down = aDown;
+  if (aDown) {
+    this->ResetSessions();
   }
-  this->acceptor.reset();
+}
+
+void
+HttpStandIn::ResetSessions()
+{
   std::set<std::shared_ptr<Session>> closing = this->sessions;
   for (const auto& session : closing) {
     session->Close();
@@ -177,6 +175,14 @@
     if (aError) {
       return;
     }
+    // The port stays taken while the server is down, so that nobody else gets it.
+    if (this->down) {
+      ErrorCode ignored;
+      aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+      aSocket.close(ignored);
+      this->Accept();
+      return;
+    }
     auto session = std::make_shared<Session>(*this, std::move(aSocket));
     this->sessions.insert(session);
     session->Read();
--- a/fakes/src/Relay.cpp
+++ b/fakes/src/Relay.cpp
@@ -73,8 +73,8 @@
   void Accept();
   void Carry(int aClient);
   void Read(int aFrom, const std::shared_ptr<Pipe>& aPipe);
-  void Write(int aTo, const std::shared_ptr<Pipe>& aPipe);
-  void Direction(int aFrom, int aTo);
+  void Write(int aTo, const std::shared_ptr<Pipe>& aPipe, const std::atomic<bool>& aHoldWay);
+  void Direction(int aFrom, int aTo, const std::atomic<bool>& aHoldWay);
 
   net::Endpoint listen;
   net::Endpoint target;
@@ -83,6 +83,8 @@
   std::atomic<int64_t> delayMicros{ 0 };
   std::atomic<uint64_t> bytes{ 0 };
   std::atomic<bool> hold{ false };
+  std::atomic<bool> holdAnswers{ false };
+  std::atomic<bool> holdNone{ false };
   std::atomic<bool> cut{ false };
   std::atomic<bool> ending{ false };
   std::mutex mutex;
@@ -108,7 +110,9 @@
 }
 
 void
-Relay::Impl::Write(int aTo, const std::shared_ptr<Pipe>& aPipe)
+Relay::Impl::Write(int aTo,
+                   const std::shared_ptr<Pipe>& aPipe,
+                   const std::atomic<bool>& aHoldWay)
 {
   while (true) {
     Pipe::Chunk chunk;
@@ -122,7 +126,7 @@
       aPipe->chunks.pop_front();
     }
     std::this_thread::sleep_until(chunk.due);
-    while (this->hold && !this->cut) {
+    while ((this->hold || aHoldWay) && !this->cut) {
       std::this_thread::sleep_for(kHoldCheck);
     }
     if (!SendAll(aTo, chunk.bytes)) {
@@ -133,10 +137,10 @@
 }
 
 void
-Relay::Impl::Direction(int aFrom, int aTo)
+Relay::Impl::Direction(int aFrom, int aTo, const std::atomic<bool>& aHoldWay)
 {
   auto pipe = std::make_shared<Pipe>();
-  std::thread writer([this, aTo, pipe] { this->Write(aTo, pipe); });
+  std::thread writer([this, aTo, pipe, &aHoldWay] { this->Write(aTo, pipe, aHoldWay); });
   this->Read(aFrom, pipe);
   writer.join();
 }
@@ -155,8 +159,8 @@
       this->open.push_back(aClient);
       this->open.push_back(server);
     }
-    std::thread back([this, server, aClient] { this->Direction(server, aClient); });
-    this->Direction(aClient, server);
+    std::thread back([this, server, aClient] { this->Direction(server, aClient, this->holdAnswers); });
+    this->Direction(aClient, server, this->holdNone);
     back.join();
     std::lock_guard<std::mutex> lock(this->mutex);
     std::erase(this->open, aClient);
@@ -243,6 +247,12 @@
   this->impl->hold = aHold;
 }
 
+void
+Relay::SetHoldAnswers(bool aHold)
+{
+  this->impl->holdAnswers = aHold;
+}
+
 void
 Relay::SetCut(bool aCut)
 {
--- a/fakes/src/SearchServer.cpp
+++ b/fakes/src/SearchServer.cpp
@@ -52,11 +52,13 @@
 }
 
 void
-SearchServer::Register(ObjectStore& aStore, const std::string& aState) const
+SearchServer::Register(ObjectStore& aStore,
+                       const std::string& aState,
+                       const std::string& aAddress) const
 {
   Json::Value entry;
   entry["service"] = this->options.service;
-  entry["address"] = this->Address();
+  entry["address"] = aAddress.empty() ? this->Address() : aAddress;
   entry["zone"] = this->options.zone;
   entry["version"] = "v1";
   entry["slots"] = this->options.slots;
--- /dev/null
+++ b/test/engine/Caller.cpp
@@ -0,0 +1,81 @@
+#include "Caller.h"
+
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+namespace sapphirewind::test {
+
+namespace asio = boost::asio;
+namespace http = engine::http;
+using engine::ErrorCode;
+
+Caller::Caller(const std::string& aAddress, std::chrono::seconds aPatience)
+  : socket(this->loop)
+{
+  ErrorCode error;
+  this->socket.connect(*engine::ParseEndpoint(aAddress), error);
+  if (error) {
+    return;
+  }
+  timeval patience{ .tv_sec = aPatience.count(), .tv_usec = 0 };
+  setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+}
+
+void
+Caller::Send(const std::string& aBytes)
+{
+  ErrorCode ignored; // The answer, or its absence, is what a test looks at.
+  asio::write(this->socket, asio::buffer(aBytes), ignored);
+}
+
+std::optional<engine::HttpResponse>
+Caller::Receive()
+{
+  engine::HttpResponse response;
+  ErrorCode error;
+  http::read(this->socket, this->buffer, response, error);
+  return error ? std::nullopt : std::optional(std::move(response));
+}
+
+std::optional<engine::HttpResponse>
+Caller::Exchange(const Ask& aAsk)
+{
+  this->Send(Bytes(aAsk));
+  return this->Receive();
+}
+
+bool
+Caller::IsEnded()
+{
+  char byte = 0;
+  ErrorCode error;
+  this->socket.read_some(asio::buffer(&byte, 1), error);
+  return error && error != asio::error::would_block && error != asio::error::try_again;
+}
+
+void
+Caller::Close()
+{
+  ErrorCode ignored;
+  this->socket.close(ignored);
+}
+
+std::string
+Bytes(const Ask& aAsk)
+{
+  std::string text = aAsk.method + " " + aAsk.target + " HTTP/1.1\r\nHost: " + aAsk.host +
+                     "\r\nSapphirewind-Request-Id: " + aAsk.id +
+                     "\r\nSapphirewind-Deadline-Ms: " + std::to_string(aAsk.deadlineMs) + "\r\n";
+  if (!aAsk.body.empty()) {
+    text += "Content-Length: " + std::to_string(aAsk.body.size()) + "\r\n";
+  }
+  return text + "\r\n" + aAsk.body;
+}
+
+std::string
+Header(const engine::HttpResponse& aResponse, const std::string& aName)
+{
+  return std::string(aResponse[aName]);
+}
+
+} // namespace sapphirewind::test
--- /dev/null
+++ b/test/engine/Caller.h
@@ -0,0 +1,52 @@
+/// @file A caller of the tier with one connection, for tests.
+#pragma once
+
+#include <engine/Asio.h>
+#include <optional>
+#include <string>
+
+namespace sapphirewind::test {
+
+/// What a caller's request carries.
+struct Ask
+{
+  std::string target = "/q/1";
+  std::string id = "id-1";
+  std::string method = "GET";
+  std::string body;
+  int deadlineMs = 2000;
+  std::string host = "search.example";
+};
+
+/// A caller with one connection.
+class Caller
+{
+public:
+  /// Far beyond what anything here takes, so that a busy machine does not fail a test.
+  static constexpr std::chrono::seconds kPatience{ 30 };
+
+  explicit Caller(const std::string& aAddress, std::chrono::seconds aPatience = kPatience);
+
+  /// Sends bytes as they are.
+  void Send(const std::string& aBytes);
+  /// Reads one answer; empty when the connection ends first or nothing comes for long.
+  std::optional<engine::HttpResponse> Receive();
+  std::optional<engine::HttpResponse> Exchange(const Ask& aAsk);
+  /// Whether the other side ended the connection.
+  bool IsEnded();
+  void Close();
+
+private:
+  boost::asio::io_context loop;
+  engine::Tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+};
+
+std::string
+Bytes(const Ask& aAsk);
+
+/// A header of an answer as text.
+std::string
+Header(const engine::HttpResponse& aResponse, const std::string& aName);
+
+} // namespace sapphirewind::test
--- a/test/engine/EngineStage.cpp
+++ b/test/engine/EngineStage.cpp
@@ -1,20 +1,13 @@
 #include "EngineStage.h"
 
 #include <adapter/Adapter.h>
-#include <boost/asio/connect.hpp>
-#include <boost/asio/write.hpp>
-#include <sys/socket.h>
 
 namespace sapphirewind::test {
 
-namespace asio = boost::asio;
 namespace http = engine::http;
-using engine::ErrorCode;
 
 namespace {
 
-/// Far beyond what anything here takes, so that a busy machine does not fail a test.
-constexpr auto kPatience = std::chrono::seconds(30);
 
 Json::Value
 MakeRoute(const std::string& aName, const std::string& aPrefix, const std::string& aType)
@@ -68,75 +61,6 @@
 
 } // namespace
 
-Caller::Caller(const std::string& aAddress)
-  : socket(this->loop)
-{
-  ErrorCode error;
-  this->socket.connect(*engine::ParseEndpoint(aAddress), error);
-  if (error) {
-    return;
-  }
-  timeval patience{ .tv_sec = kPatience.count(), .tv_usec = 0 };
-  setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
-}
-
-void
-Caller::Send(const std::string& aBytes)
-{
-  ErrorCode ignored; // The answer, or its absence, is what a test looks at.
-  asio::write(this->socket, asio::buffer(aBytes), ignored);
-}
-
-std::optional<engine::HttpResponse>
-Caller::Receive()
-{
-  engine::HttpResponse response;
-  ErrorCode error;
-  http::read(this->socket, this->buffer, response, error);
-  return error ? std::nullopt : std::optional(std::move(response));
-}
-
-std::optional<engine::HttpResponse>
-Caller::Exchange(const Ask& aAsk)
-{
-  this->Send(Bytes(aAsk));
-  return this->Receive();
-}
-
-bool
-Caller::IsEnded()
-{
-  char byte = 0;
-  ErrorCode error;
-  this->socket.read_some(asio::buffer(&byte, 1), error);
-  return error && error != asio::error::would_block && error != asio::error::try_again;
-}
-
-void
-Caller::Close()
-{
-  ErrorCode ignored;
-  this->socket.close(ignored);
-}
-
-std::string
-Bytes(const Ask& aAsk)
-{
-  std::string text = aAsk.method + " " + aAsk.target + " HTTP/1.1\r\nHost: " + aAsk.host +
-                     "\r\nSapphirewind-Request-Id: " + aAsk.id +
-                     "\r\nSapphirewind-Deadline-Ms: " + std::to_string(aAsk.deadlineMs) + "\r\n";
-  if (!aAsk.body.empty()) {
-    text += "Content-Length: " + std::to_string(aAsk.body.size()) + "\r\n";
-  }
-  return text + "\r\n" + aAsk.body;
-}
-
-std::string
-Header(const engine::HttpResponse& aResponse, const std::string& aName)
-{
-  return std::string(aResponse[aName]);
-}
-
 EngineStage::EngineStage()
   : store(this->loop)
 {
@@ -159,56 +83,69 @@
   this->Configure(1);
 }
 
-EngineStage::~EngineStage()
+RunningInstance::RunningInstance(const engine::Settings& aSettings)
+  : instance(engine::Instance::Options{ .settings = aSettings,
+                                        .wire = adapter::MakeWireCodec(),
+                                        .store = adapter::MakeStoreCodec() })
 {
-  if (this->thread.joinable()) {
-    this->instance->Abort();
-    this->thread.join();
+  if (std::error_code error = this->instance.Start()) {
+    throw std::system_error(error);
   }
+  this->thread = std::thread([this] {
+    this->instance.Run();
+    this->running = false;
+  });
+}
+
+RunningInstance::~RunningInstance()
+{
+  this->instance.Abort();
+  this->thread.join();
+}
+
+bool
+RunningInstance::IsReady()
+{
+  Caller balancer(this->instance.StatusAddress());
+  balancer.Send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  auto answer = balancer.Receive();
+  return answer && answer->result() == http::status::ok;
+}
+
+engine::Settings
+EngineStage::SettingsOf(const std::string& aName) const
+{
+  return engine::Settings{ .instance = aName,
+                           .zone = "a",
+                           .regions = { { "a", "r" }, { "b", "r" } },
+                           .callerAddress = "127.0.0.1:0",
+                           .statusAddress = "127.0.0.1:0",
+                           .peerAddress = "127.0.0.1:0",
+                           .storeAddress = this->store.Address(),
+                           .maxDescriptors = 512,
+                           .extraShare = 0.2,
+                           .extraMinimum = 500,
+                           .watchWait = std::chrono::milliseconds(1000),
+                           .drain = std::chrono::milliseconds(1500),
+                           .stopWithin = std::chrono::seconds(4) };
 }
 
 void
 EngineStage::StartInstance()
 {
-  engine::Settings settings{ .instance = "instance-1",
-                             .zone = "a",
-                             .regions = { { "a", "r" }, { "b", "r" } },
-                             .callerAddress = "127.0.0.1:0",
-                             .statusAddress = "127.0.0.1:0",
-                             .peerAddress = "127.0.0.1:0",
-                             .storeAddress = this->store.Address(),
-                             .maxDescriptors = 512,
-                             .extraShare = 0.2,
-                             .extraMinimum = 500,
-                             .watchWait = std::chrono::milliseconds(1000),
-                             .stopWithin = std::chrono::seconds(4) };
-  this->instance = std::make_unique<engine::Instance>(engine::Instance::Options{
-    .settings = settings, .wire = adapter::MakeWireCodec(), .store = adapter::MakeStoreCodec() });
-  if (std::error_code error = this->instance->Start()) {
-    throw std::system_error(error);
-  }
-  this->callerAddress = this->instance->CallerAddress();
-  this->statusAddress = this->instance->StatusAddress();
-  this->running = true;
-  this->thread = std::thread([this] {
-    this->instance->Run();
-    this->running = false;
-  });
+  this->instance = std::make_unique<RunningInstance>(this->SettingsOf("instance-1"));
 }
 
 void
 EngineStage::StopInstance()
 {
-  this->instance->Stop();
+  this->instance->Get().Stop();
 }
 
 bool
 EngineStage::IsReady()
 {
-  Caller balancer(this->statusAddress);
-  balancer.Send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
-  auto answer = balancer.Receive();
-  return answer && answer->result() == http::status::ok;
+  return this->instance->IsReady();
 }
 
 bool
@@ -220,7 +157,7 @@
 bool
 EngineStage::Await(const std::function<bool()>& aHolds)
 {
-  auto until = std::chrono::steady_clock::now() + kPatience;
+  auto until = std::chrono::steady_clock::now() + Caller::kPatience;
   while (std::chrono::steady_clock::now() < until) {
     if (aHolds()) {
       return true;
--- a/test/engine/EngineStage.h
+++ b/test/engine/EngineStage.h
@@ -1,72 +1,52 @@
 /// @file One instance between stand-ins of the store and of servers, and callers that speak to it.
 #pragma once
 
+#include "Caller.h"
+
 #include <engine/Instance.h>
 #include <fakes/ObjectStore.h>
 #include <fakes/SearchServer.h>
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <thread>
 
 namespace sapphirewind::test {
 
-/// What a caller's request carries.
-struct Ask
-{
-  std::string target = "/q/1";
-  std::string id = "id-1";
-  std::string method = "GET";
-  std::string body;
-  int deadlineMs = 2000;
-  std::string host = "search.example";
-};
-
-/// A caller with one connection.
-class Caller
+/// An instance on a thread of its own.
+class RunningInstance
 {
 public:
-  explicit Caller(const std::string& aAddress);
+  explicit RunningInstance(const engine::Settings& aSettings);
+  ~RunningInstance();
 
-  /// Sends bytes as they are.
-  void Send(const std::string& aBytes);
-  /// Reads one answer; empty when the connection ends first or nothing comes for long.
-  std::optional<engine::HttpResponse> Receive();
-  std::optional<engine::HttpResponse> Exchange(const Ask& aAsk);
-  /// Whether the other side ended the connection.
-  bool IsEnded();
-  void Close();
+  engine::Instance& Get() { return this->instance; }
+  bool IsRunning() const { return this->running; }
+  bool IsReady();
 
 private:
-  boost::asio::io_context loop;
-  engine::Tcp::socket socket;
-  boost::beast::flat_buffer buffer;
+  engine::Instance instance;
+  std::thread thread;
+  std::atomic<bool> running{ true };
 };
 
-std::string
-Bytes(const Ask& aAsk);
-
-/// A header of an answer as text.
-std::string
-Header(const engine::HttpResponse& aResponse, const std::string& aName);
-
 /// The store, ten shards s0 to s9 of two servers each and a plain service "p" of two servers, and
 /// an instance that follows them.
 class EngineStage
 {
 public:
   EngineStage();
-  ~EngineStage();
 
+  /// Settings of an instance that follows the store of this stage.
+  engine::Settings SettingsOf(const std::string& aName) const;
   void StartInstance();
   void StopInstance();
   /// Waits until the instance is ready or a long time passed.
   bool AwaitReady();
   bool IsReady();
-  bool IsRunning() const { return this->running; }
+  bool IsRunning() const { return this->instance->IsRunning(); }
 
-  Caller Connect() { return Caller(this->callerAddress); }
-  std::string CallerAddress() const { return this->callerAddress; }
-  std::string StatusAddress() const { return this->statusAddress; }
+  Caller Connect() { return Caller(this->instance->Get().CallerAddress()); }
 
   /// Writes the standing configuration as a version, with changes made to it first.
   void Configure(uint64_t aVersion, const std::function<void(Json::Value&)>& aChange = {});
@@ -88,11 +68,7 @@
   std::vector<std::unique_ptr<fakes::SearchServer>> servers;
 
 private:
-  std::string callerAddress;
-  std::string statusAddress;
-  std::unique_ptr<engine::Instance> instance;
-  std::thread thread;
-  std::atomic<bool> running{ false };
+  std::unique_ptr<RunningInstance> instance;
 };
 
 } // namespace sapphirewind::test
--- /dev/null
+++ b/test/engine/MirrorTest.cpp
@@ -0,0 +1,142 @@
+#include "EngineStage.h"
+
+#include <boost/test/unit_test.hpp>
+#include <engine/StoreMirror.h>
+
+using namespace sapphirewind;
+using namespace sapphirewind::engine;
+using namespace sapphirewind::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::Instant kStart{ 100s };
+
+std::shared_ptr<const std::string>
+Body(const std::string& aText)
+{
+  return std::make_shared<std::string>(aText);
+}
+
+MirroredKind
+Listed(uint64_t aRevision)
+{
+  MirroredKind kind;
+  OnMirroredPage(kind, "", Body("page"), kStart);
+  OnMirroredList(kind, aRevision);
+  return kind;
+}
+
+/// Seven instances of one region, of which two mirror the store.
+struct RegionStage : EngineStage
+{
+  RegionStage()
+  {
+    for (size_t index = 0; index < kInstances; ++index) {
+      this->Start("instance-" + std::to_string(index));
+    }
+    BOOST_REQUIRE(Await([this] { return this->AllServe("/p/1"); }));
+  }
+
+  void Start(const std::string& aName)
+  {
+    this->instances.push_back(std::make_unique<RunningInstance>(this->SettingsOf(aName)));
+  }
+
+  bool AllServe(const std::string& aTarget)
+  {
+    for (const auto& instance : this->instances) {
+      auto answer =
+        Caller(instance->Get().CallerAddress()).Exchange({ .target = aTarget, .id = "all" });
+      if (!answer || answer->result_int() != 200) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void AddRoute(uint64_t aVersion, const std::string& aPrefix)
+  {
+    this->Configure(aVersion, [&](Json::Value& aRoot) {
+      Json::Value route = aRoot["routes"][1];
+      route["name"] = aPrefix;
+      route["path_prefix"] = aPrefix;
+      aRoot["routes"].append(route);
+    });
+  }
+
+  static constexpr size_t kInstances = 7;
+  std::vector<std::unique_ptr<RunningInstance>> instances;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_mirror_of_the_store)
+
+BOOST_AUTO_TEST_CASE(has_nothing_to_pass_on_before_a_whole_list)
+{
+  MirroredKind kind;
+  OnMirroredPage(kind, "", Body("page"), kStart);
+  BOOST_TEST(!IsFresh(kind, 1s, kStart));
+  BOOST_TEST((FindChanges(kind, 5).verdict == MirrorVerdict::Gone));
+}
+
+BOOST_AUTO_TEST_CASE(hands_out_the_changes_after_a_revision_one_answer_at_a_time)
+{
+  MirroredKind kind = Listed(10);
+  OnMirroredChanges(kind, 12, true, Body("to 12"), kStart);
+  OnMirroredChanges(kind, 15, true, Body("to 15"), kStart);
+  BOOST_TEST(*FindChanges(kind, 10).body == "to 12");
+  BOOST_TEST(*FindChanges(kind, 11).body == "to 12");
+  BOOST_TEST(*FindChanges(kind, 12).body == "to 15");
+  BOOST_TEST((FindChanges(kind, 15).verdict == MirrorVerdict::Wait));
+  BOOST_TEST((FindChanges(kind, 99).verdict == MirrorVerdict::Wait));
+  BOOST_TEST((FindChanges(kind, 9).verdict == MirrorVerdict::Gone));
+}
+
+BOOST_AUTO_TEST_CASE(is_current_only_while_the_store_answers)
+{
+  MirroredKind kind = Listed(10);
+  BOOST_TEST(IsFresh(kind, 1s, kStart + 1s));
+  BOOST_TEST(!IsFresh(kind, 1s, kStart + 1001ms));
+  OnMirroredChanges(kind, 10, false, Body("none"), kStart + 2s);
+  BOOST_TEST(IsFresh(kind, 1s, kStart + 3s));
+}
+
+BOOST_AUTO_TEST_CASE(asks_to_be_listed_anew_once_it_keeps_too_much)
+{
+  MirroredKind kind = Listed(10);
+  OnMirroredChanges(kind, 11, true, Body(std::string(kMostMirroredBytes, 'x')), kStart);
+  BOOST_TEST(!IsOverfull(kind));
+  OnMirroredChanges(kind, 12, true, Body("x"), kStart);
+  BOOST_TEST(IsOverfull(kind));
+}
+
+BOOST_FIXTURE_TEST_SUITE(in_a_region_of_seven, RegionStage)
+
+BOOST_AUTO_TEST_CASE(brings_changes_to_all)
+{
+  this->AddRoute(2, "/second/");
+  BOOST_TEST(Await([this] { return this->AllServe("/second/1"); }));
+}
+
+BOOST_AUTO_TEST_CASE(is_done_without_once_mirrors_are_gone)
+{
+  // Whichever two are the mirrors, they are among the six that go.
+  while (this->instances.size() > 1) {
+    this->instances.pop_back();
+  }
+  this->AddRoute(3, "/third/");
+  BOOST_TEST(Await([this] { return this->AllServe("/third/1"); }));
+}
+
+BOOST_AUTO_TEST_CASE(passes_on_no_old_news_after_an_outage)
+{
+  this->store.SetMode(fakes::ObjectStore::Mode::Busy);
+  this->AddRoute(4, "/fourth/");
+  this->store.SetMode(fakes::ObjectStore::Mode::Serving);
+  BOOST_TEST(Await([this] { return this->AllServe("/fourth/1"); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/soak/Load.h
@@ -0,0 +1,48 @@
+/// @file Callers of the soak: they send queries, plain requests and bookings all the while and
+/// check every answer.
+#pragma once
+
+#include "Fleet.h"
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+namespace sapphirewind::test {
+
+/// What callers saw.
+struct LoadRecord
+{
+  size_t asked = 0;
+  size_t served = 0;
+  /// Bookings by what their caller was told.
+  std::vector<std::string> bookings;
+  std::vector<std::string> refusedBookings;
+  std::vector<std::string> violations;
+};
+
+class Load
+{
+public:
+  Load(const Fleet& aFleet, uint64_t aSeed, size_t aCallers);
+  ~Load();
+
+  /// Ends the callers and returns what they saw.
+  LoadRecord Finish();
+
+private:
+  void Run(uint64_t aSeed);
+  void Check(const Ask& aAsk, const std::optional<engine::HttpResponse>& aAnswer);
+
+  std::vector<std::string> addresses;
+  std::atomic<bool> ending{ false };
+  std::mutex lock;
+  LoadRecord record;
+  std::vector<std::thread> callers;
+};
+
+/// What is wrong with a success; empty when nothing is.
+std::string
+WrongWith(const Ask& aAsk, const engine::HttpResponse& aAnswer);
+
+} // namespace sapphirewind::test
