--- /dev/null
+++ b/libs/dispatch/include/dispatch/ExtraSend.h
@@ -0,0 +1,26 @@
+/// @file What second sends are spent on: a service's budget for them is small and shared, so it
+/// goes to requests that it still brings an answer in time.
+#pragma once
+
+#include <base/Time.h>
+
+namespace sapphirewind::dispatch {
+
+/// What the worth of a second send depends on.
+struct ExtraSend
+{
+  /// The latency to expect of it.
+  base::Duration expected{ 0 };
+  /// By when the answer must be there to be of full use.
+  base::Instant answerBy{};
+  /// The part of the budget that is left, from 0 to 1.
+  double budgetLeft = 0.0;
+};
+
+/// Whether to send a second time now. An answer in time comes first. One that would be late waits
+/// until it is certain that the request needs it, and then takes only from a budget that is at
+/// least half full.
+bool
+IsWorthSending(const ExtraSend& aExtra, base::Instant aNow);
+
+} // namespace sapphirewind::dispatch
--- /dev/null
+++ b/libs/dispatch/test/ExtraSendTest.cpp
@@ -0,0 +1,39 @@
+#include <boost/test/unit_test.hpp>
+#include <dispatch/ExtraSend.h>
+
+using namespace sapphirewind;
+using namespace sapphirewind::dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::Instant kNow{ 100s };
+
+ExtraSend
+Due(base::Duration aIn, double aBudgetLeft)
+{
+  return { .expected = 20ms, .answerBy = kNow + aIn, .budgetLeft = aBudgetLeft };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_second_send)
+
+BOOST_AUTO_TEST_CASE(goes_out_while_it_can_bring_an_answer_in_time)
+{
+  BOOST_TEST(IsWorthSending(Due(20ms, 0.0), kNow));
+}
+
+BOOST_AUTO_TEST_CASE(waits_when_it_would_come_too_late_for_an_answer_that_may_do_without)
+{
+  BOOST_TEST(!IsWorthSending(Due(19ms, 1.0), kNow));
+}
+
+BOOST_AUTO_TEST_CASE(of_a_late_request_takes_only_from_an_ample_budget)
+{
+  BOOST_TEST(IsWorthSending(Due(0ms, 0.5), kNow));
+  BOOST_TEST(!IsWorthSending(Due(0ms, 0.49), kNow));
+  BOOST_TEST(!IsWorthSending(Due(-500ms, 0.1), kNow));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/engine/include/engine/ServiceCall.h
+++ b/libs/engine/include/engine/ServiceCall.h
@@ -76,6 +76,8 @@
   const dispatch::AttemptHistory& History() const { return this->history; }
   const std::string& Service() const { return this->options.service; }
   unsigned Hedges() const { return this->hedges; }
+  /// The servers that were asked and when, for the log: "service:server@12ms".
+  std::string Describe() const;
 
 private:
   enum class Sent
@@ -86,6 +88,8 @@
   };
 
   Sent TrySend(base::Instant aNow);
+  /// Takes a second send from the service's budget if it is worth it and there is one left.
+  bool MaySpend(const UpstreamServer& aServer, base::Instant aNow);
   void Launch(const std::shared_ptr<UpstreamServer>& aServer, base::Instant aNow);
   std::optional<base::Duration> ExpectedOfAnother(base::Instant aNow);
   std::shared_ptr<UpstreamServer> Choose(base::Instant aNow);
@@ -98,9 +102,12 @@
   std::shared_ptr<dispatch::WorkEstimate> work;
   dispatch::AttemptHistory history;
   std::vector<std::shared_ptr<Attempt>> open;
-  std::vector<const UpstreamServer*> tried;
-  /// Keeps the servers of `tried` alive, so that their addresses stay theirs.
-  std::vector<std::shared_ptr<UpstreamServer>> triedServers;
+  struct Try
+  {
+    std::shared_ptr<UpstreamServer> server;
+    base::Instant at{};
+  };
+  std::vector<Try> tries;
   ExchangeResult answer;
   bool hasAnswer = false;
   unsigned hedges = 0;
--- a/libs/engine/src/GatherRun.cpp
+++ b/libs/engine/src/GatherRun.cpp
@@ -108,8 +108,7 @@
   for (const auto& call : this->calls) {
     hedges += call->Hedges();
     if (call->CurrentState() != ServiceCall::State::Answered) {
-      missing += (missing.empty() ? "" : ",") + call->Service() + ":" +
-                 std::to_string(call->History().sent);
+      missing += (missing.empty() ? "" : ",") + call->Describe();
     }
   }
   return "hedges=" + std::to_string(hedges) + " missing=" + missing;
--- a/libs/engine/src/PlainRun.cpp
+++ b/libs/engine/src/PlainRun.cpp
@@ -56,7 +56,7 @@
   }
   bool foundNoRoom = refusal == dispatch::Refusal::NotRun && now >= this->RefuseBy();
   if (failed || timeIsOver || foundNoRoom) {
-    this->Refuse(refusal, "service=" + this->call->Service());
+    this->Refuse(refusal, "asked=" + this->call->Describe());
     return;
   }
   base::Instant wake = std::min(this->call->NextDue(), this->LastMoment());
@@ -83,8 +83,7 @@
   }
   this->Respond(std::move(response),
                 Counter::Answered,
-                "service=" + this->call->Service() +
-                  " attempts=" + std::to_string(this->call->History().sent));
+                "asked=" + this->call->Describe());
 }
 
 void
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <dispatch/ExtraSend.h>
 #include <dispatch/Gather.h>
 #include <telemetry/Events.h>
 
@@ -71,15 +72,31 @@
   if (!server) {
     return Sent::NotNow;
   }
-  if (dispatch::IsExtra(this->history) &&
-      !routing::Spend(this->options.context.fleet.BudgetOf(this->options.service))) {
-    this->options.context.metrics.Count(Counter::BudgetExhausted);
+  if (dispatch::IsExtra(this->history) && !this->MaySpend(*server, aNow)) {
     return Sent::NotNow;
   }
   this->Launch(server, aNow);
   return Sent::Yes;
 }
 
+bool
+ServiceCall::MaySpend(const UpstreamServer& aServer, base::Instant aNow)
+{
+  routing::AttemptBudget& budget = this->options.context.fleet.BudgetOf(this->options.service);
+  dispatch::ExtraSend extra{ .expected =
+                               dispatch::ExpectedLatency(aServer.State(), *this->work, aNow),
+                             .answerBy = this->options.answerBy,
+                             .budgetLeft = budget.tokens / budget.most };
+  if (!dispatch::IsWorthSending(extra, aNow)) {
+    return false;
+  }
+  if (!routing::Spend(budget)) {
+    this->options.context.metrics.Count(Counter::BudgetExhausted);
+    return false;
+  }
+  return true;
+}
+
 std::shared_ptr<UpstreamServer>
 ServiceCall::Choose(base::Instant aNow)
 {
@@ -88,8 +105,9 @@
   std::vector<size_t> triedIndexes;
   for (size_t index = 0; index < servers.size(); ++index) {
     states.push_back(&servers[index]->State());
-    bool wasTried =
-      std::find(this->tried.begin(), this->tried.end(), servers[index].get()) != this->tried.end();
+    bool wasTried = std::any_of(this->tries.begin(), this->tries.end(), [&](const Try& aTry) {
+      return aTry.server == servers[index];
+    });
     if (wasTried) {
       triedIndexes.push_back(index);
     }
@@ -105,8 +123,7 @@
   const IncomingRequest& incoming = *this->options.request;
   bool repeatable = incoming.route->repeatability == directory::Repeatability::Idempotent;
   dispatch::OnStarted(this->history);
-  this->tried.push_back(aServer.get());
-  this->triedServers.push_back(aServer);
+  this->tries.push_back({ .server = aServer, .at = aNow });
   auto self = this->shared_from_this();
   auto slot = std::make_shared<std::weak_ptr<Attempt>>();
   base::Duration expected = dispatch::ExpectedLatency(aServer->State(), *this->work, aNow);
@@ -207,6 +224,18 @@
   this->options.onChange();
 }
 
+std::string
+ServiceCall::Describe() const
+{
+  std::string text = this->options.service + ":";
+  for (const Try& attempt : this->tries) {
+    int64_t after = base::ToMillis(attempt.at - this->options.request->receivedAt);
+    text += (text.back() == ':' ? "" : "+") + attempt.server->Description().id + "@" +
+            std::to_string(after) + "ms";
+  }
+  return text;
+}
+
 void
 ServiceCall::Cancel()
 {
