Keep scarce second sends for requests that lack one part, and ask a refusing server again

A second send is now weighed by what its query lacks at that moment, and a server that said it did not run a request may be asked again, so the route's bound on servers holds. Ruled out: a better choice of servers (none was left).

--- a/libs/dispatch/include/dispatch/ExtraSend.h
+++ b/libs/dispatch/include/dispatch/ExtraSend.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <base/Time.h>
+#include <cstddef>
 
 namespace sapphirewind::dispatch {
 
@@ -15,11 +16,17 @@
   base::Instant answerBy{};
   /// The part of the budget that is left, from 0 to 1.
   double budgetLeft = 0.0;
+  /// Parts that the request lacks for any answer at all, this one included; 0 when it has an answer
+  /// without it, only a less complete one.
+  size_t shortfall = 1;
 };
 
-/// Whether to send a second time now. An answer in time comes first. One that would be late waits
-/// until it is certain that the request needs it, and then takes only from a budget that is at
-/// least half full.
+/// Whether to send a second time now.
+///
+/// An answer in time comes first: one that would be late waits until it is certain that the request
+/// needs it, and then takes only from a budget that is at least half full. As the budget runs low it
+/// is kept for requests that lack one part: spent on those that lack several, it mostly buys none
+/// of them an answer.
 bool
 IsWorthSending(const ExtraSend& aExtra, base::Instant aNow);
 
--- a/libs/dispatch/test/ExtraSendTest.cpp
+++ b/libs/dispatch/test/ExtraSendTest.cpp
@@ -36,4 +36,20 @@
   BOOST_TEST(!IsWorthSending(Due(-500ms, 0.1), kNow));
 }
 
+BOOST_AUTO_TEST_CASE(is_kept_for_requests_that_lack_one_part_as_the_budget_runs_low)
+{
+  ExtraSend scarce = Due(100ms, 0.2);
+  scarce.shortfall = 1;
+  BOOST_TEST(IsWorthSending(scarce, kNow));
+  scarce.shortfall = 0;
+  BOOST_TEST(!IsWorthSending(scarce, kNow));
+  scarce.shortfall = 3;
+  BOOST_TEST(!IsWorthSending(scarce, kNow));
+  for (size_t shortfall : { 0, 1, 2, 5 }) {
+    ExtraSend ample = Due(100ms, 0.9);
+    ample.shortfall = shortfall;
+    BOOST_TEST(IsWorthSending(ample, kNow));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/engine/include/engine/ServiceCall.h
+++ b/libs/engine/include/engine/ServiceCall.h
@@ -61,6 +61,13 @@
   /// Sends again or a second time when that is due.
   void Advance(base::Instant aNow);
 
+  /// Tells how many parts the request lacks for an answer, counting those that are under way as
+  /// there; this decides what second sends it gets.
+  void SetShortfall(size_t aParts) { this->shortfall = aParts; }
+
+  /// Whether an attempt is under way that is not overdue.
+  bool IsUnderWay(base::Instant aNow) const;
+
   /// When Advance has something to do next.
   base::Instant NextDue() const { return this->nextDue; }
 
@@ -93,8 +100,11 @@
   void Launch(const std::shared_ptr<UpstreamServer>& aServer, base::Instant aNow);
   std::optional<base::Duration> ExpectedOfAnother(base::Instant aNow);
   std::shared_ptr<UpstreamServer> Choose(base::Instant aNow);
+  /// The servers that must not be asked now.
+  bool IsExcluded(const UpstreamServer& aServer, base::Instant aNow) const;
   std::shared_ptr<HttpRequest> MakeRequest(const UpstreamServer& aServer, base::Instant aNow) const;
   void OnEnd(const std::shared_ptr<Attempt>& aAttempt, ExchangeResult&& aResult);
+  void NoteRefused(const UpstreamServer& aServer);
   void Settle(State aState);
 
   Options options;
@@ -106,8 +116,11 @@
   {
     std::shared_ptr<UpstreamServer> server;
     base::Instant at{};
+    /// Set when the server said that it did not run the request, which lets it be asked again.
+    std::optional<base::Instant> refusedAt;
   };
   std::vector<Try> tries;
+  size_t shortfall = 1;
   ExchangeResult answer;
   bool hasAnswer = false;
   unsigned hedges = 0;
--- a/libs/engine/src/GatherRun.cpp
+++ b/libs/engine/src/GatherRun.cpp
@@ -50,8 +50,17 @@
 void
 GatherRun::AdvanceCalls(base::Instant aNow)
 {
+  size_t coming = 0;
+  for (const auto& call : this->calls) {
+    bool pending = call->CurrentState() == ServiceCall::State::Pending;
+    bool answered = call->CurrentState() == ServiceCall::State::Answered;
+    coming += answered || (pending && call->IsUnderWay(aNow)) ? 1 : 0;
+  }
+  size_t least = dispatch::LeastParts(this->calls.size(), this->request->route->leastCoverage);
+  size_t shortfall = least > coming ? least - coming : 0;
   for (const auto& call : this->calls) {
     if (aNow >= call->NextDue()) {
+      call->SetShortfall(shortfall);
       call->Advance(aNow);
     }
   }
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -63,8 +63,11 @@
 ServiceCall::TrySend(base::Instant aNow)
 {
   const directory::Route& route = *this->options.request->route;
-  bool spent = this->history.sent >= std::max(1U, route.attempts);
-  if (spent || !dispatch::MaySendAgain(this->history, route.repeatability) ||
+  bool mayAskAgain = std::any_of(this->tries.begin(), this->tries.end(), [](const Try& aTry) {
+    return aTry.refusedAt.has_value();
+  });
+  bool spent = this->tries.size() >= std::max(1U, route.attempts);
+  if ((spent && !mayAskAgain) || !dispatch::MaySendAgain(this->history, route.repeatability) ||
       this->options.request->deadline - aNow < kLeastRemaining) {
     return Sent::Never;
   }
@@ -86,7 +89,8 @@
   dispatch::ExtraSend extra{ .expected =
                                dispatch::ExpectedLatency(aServer.State(), *this->work, aNow),
                              .answerBy = this->options.answerBy,
-                             .budgetLeft = budget.tokens / budget.most };
+                             .budgetLeft = budget.tokens / budget.most,
+                             .shortfall = this->shortfall };
   if (!dispatch::IsWorthSending(extra, aNow)) {
     return false;
   }
@@ -97,6 +101,25 @@
   return true;
 }
 
+bool
+ServiceCall::IsExcluded(const UpstreamServer& aServer, base::Instant aNow) const
+{
+  auto tried = std::find_if(this->tries.begin(), this->tries.end(), [&](const Try& aTry) {
+    return aTry.server.get() == &aServer;
+  });
+  if (tried == this->tries.end()) {
+    // The route bounds the servers that one request is sent to.
+    return this->tries.size() >= std::max(1U, this->options.request->route->attempts);
+  }
+  return !tried->refusedAt || aNow - *tried->refusedAt < kResendInterval;
+}
+
+bool
+ServiceCall::IsUnderWay(base::Instant aNow) const
+{
+  return !this->open.empty() && aNow < this->hedgeAt;
+}
+
 std::shared_ptr<UpstreamServer>
 ServiceCall::Choose(base::Instant aNow)
 {
@@ -105,10 +128,7 @@
   std::vector<size_t> triedIndexes;
   for (size_t index = 0; index < servers.size(); ++index) {
     states.push_back(&servers[index]->State());
-    bool wasTried = std::any_of(this->tries.begin(), this->tries.end(), [&](const Try& aTry) {
-      return aTry.server == servers[index];
-    });
-    if (wasTried) {
+    if (this->IsExcluded(*servers[index], aNow)) {
       triedIndexes.push_back(index);
     }
   }
@@ -123,7 +143,14 @@
   const IncomingRequest& incoming = *this->options.request;
   bool repeatable = incoming.route->repeatability == directory::Repeatability::Idempotent;
   dispatch::OnStarted(this->history);
-  this->tries.push_back({ .server = aServer, .at = aNow });
+  auto known = std::find_if(this->tries.begin(), this->tries.end(), [&](const Try& aTry) {
+    return aTry.server == aServer;
+  });
+  if (known == this->tries.end()) {
+    this->tries.push_back({ .server = aServer, .at = aNow });
+  } else {
+    known->refusedAt.reset();
+  }
   auto self = this->shared_from_this();
   auto slot = std::make_shared<std::weak_ptr<Attempt>>();
   base::Duration expected = dispatch::ExpectedLatency(aServer->State(), *this->work, aNow);
@@ -142,7 +169,7 @@
   this->options.context.metrics.Count(Counter::UpstreamSend);
   this->open.push_back(attempt);
   this->hedgeAt = base::Instant::max();
-  bool mayHedge = repeatable && this->history.sent < incoming.route->attempts;
+  bool mayHedge = repeatable && this->tries.size() < incoming.route->attempts;
   if (mayHedge) {
     base::Duration another = this->ExpectedOfAnother(aNow).value_or(expected);
     this->hedgeAt =
@@ -186,6 +213,9 @@
     aResult.end = dispatch::AttemptEnd::ServerError;
   }
   dispatch::OnEnded(this->history, aResult.end);
+  if (aResult.end == dispatch::AttemptEnd::NotExecuted) {
+    this->NoteRefused(aAttempt->Server());
+  }
   if (this->state != State::Pending) {
     return;
   }
@@ -205,16 +235,25 @@
     this->answer = std::move(aResult);
     this->hasAnswer = true;
   }
-  base::Instant now = base::Now();
   if (answered) {
     this->Settle(State::Answered);
     return;
   }
   this->resendDue = true;
-  this->Advance(now);
+  this->nextDue = base::Now();
   this->options.onChange();
 }
 
+void
+ServiceCall::NoteRefused(const UpstreamServer& aServer)
+{
+  for (Try& attempt : this->tries) {
+    if (attempt.server.get() == &aServer) {
+      attempt.refusedAt = base::Now();
+    }
+  }
+}
+
 void
 ServiceCall::Settle(State aState)
 {
