--- a/libs/engine/src/Settings.cpp
+++ b/libs/engine/src/Settings.cpp
@@ -9,7 +9,7 @@
 
 /// A silent connection to the store is noticed, and the store listed anew, this long before the
 /// platform holds the instance to its bounds again.
-constexpr base::Duration kSilenceMargin = std::chrono::milliseconds(1500);
+constexpr base::Duration kSilenceMargin = std::chrono::milliseconds(1900);
 constexpr base::Duration kLeastWatchWait = std::chrono::milliseconds(1000);
 
 std::string
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -13,7 +13,7 @@
 /// The pause before another source is asked.
 constexpr base::Duration kOtherSource = std::chrono::milliseconds(10);
 /// Changes that come in quick succession are taken in together after this pause.
-constexpr base::Duration kWatchPause = std::chrono::milliseconds(200);
+constexpr base::Duration kWatchPause = std::chrono::milliseconds(500);
 /// The pause after a failed call, doubled with each further one up to the longest, with jitter.
 constexpr base::Duration kFirstRetry = std::chrono::milliseconds(100);
 constexpr base::Duration kLongestRetry = std::chrono::milliseconds(400);
