--- a/fakes/src/Relay.cpp
+++ b/fakes/src/Relay.cpp
@@ -110,9 +110,7 @@
 }
 
 void
-Relay::Impl::Write(int aTo,
-                   const std::shared_ptr<Pipe>& aPipe,
-                   const std::atomic<bool>& aHoldWay)
+Relay::Impl::Write(int aTo, const std::shared_ptr<Pipe>& aPipe, const std::atomic<bool>& aHoldWay)
 {
   while (true) {
     Pipe::Chunk chunk;
@@ -159,7 +157,8 @@
       this->open.push_back(aClient);
       this->open.push_back(server);
     }
-    std::thread back([this, server, aClient] { this->Direction(server, aClient, this->holdAnswers); });
+    std::thread back(
+      [this, server, aClient] { this->Direction(server, aClient, this->holdAnswers); });
     this->Direction(aClient, server, this->holdNone);
     back.join();
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/libs/directory/include/directory/Census.h
+++ b/libs/directory/include/directory/Census.h
@@ -59,10 +59,7 @@
 /// same at every instance that sees the same entries. Empty when so few live there that each may
 /// follow the store itself.
 std::vector<InstanceEntry>
-ChooseMirrors(const Census& aCensus,
-              const std::string& aRegion,
-              size_t aCount,
-              base::Instant aNow);
+ChooseMirrors(const Census& aCensus, const std::string& aRegion, size_t aCount, base::Instant aNow);
 
 /// Up to so many instances of a region each follow the store themselves.
 constexpr size_t kMostDirectFollowers = 4;
--- a/libs/directory/src/Census.cpp
+++ b/libs/directory/src/Census.cpp
@@ -42,10 +42,7 @@
 }
 
 std::vector<InstanceEntry>
-ChooseMirrors(const Census& aCensus,
-              const std::string& aRegion,
-              size_t aCount,
-              base::Instant aNow)
+ChooseMirrors(const Census& aCensus, const std::string& aRegion, size_t aCount, base::Instant aNow)
 {
   std::vector<InstanceEntry> mirrors;
   for (const auto& [name, sighting] : aCensus.sightings) {
--- a/libs/dispatch/include/dispatch/ExtraSend.h
+++ b/libs/dispatch/include/dispatch/ExtraSend.h
@@ -24,9 +24,9 @@
 /// Whether to send a second time now.
 ///
 /// An answer in time comes first: one that would be late waits until it is certain that the request
-/// needs it, and then takes only from a budget that is at least half full. As the budget runs low it
-/// is kept for requests that lack one part: spent on those that lack several, it mostly buys none
-/// of them an answer.
+/// needs it, and then takes only from a budget that is at least half full. As the budget runs low
+/// it is kept for requests that lack one part: spent on those that lack several, it mostly buys
+/// none of them an answer.
 bool
 IsWorthSending(const ExtraSend& aExtra, base::Instant aNow);
 
--- a/libs/dispatch/src/Gather.cpp
+++ b/libs/dispatch/src/Gather.cpp
@@ -42,7 +42,8 @@
   // Shares such as 0.9 of 10 must not round up for want of binary digits.
   constexpr double kRounding = 1e-9;
   double least = std::ceil(static_cast<double>(aShards) * aLeastCoverage - kRounding);
-  return std::clamp<size_t>(static_cast<size_t>(std::max(1.0, least)), 1, std::max<size_t>(1, aShards));
+  return std::clamp<size_t>(
+    static_cast<size_t>(std::max(1.0, least)), 1, std::max<size_t>(1, aShards));
 }
 
 GatherStep
@@ -64,8 +65,8 @@
 base::Duration
 HedgeDelay(const HedgeTiming& aTiming)
 {
-  base::Duration overdue = std::max(aTiming.expectedFirst * kOverdueFactor,
-                                    aTiming.expectedFirst + kLeastHedgeDelay);
+  base::Duration overdue =
+    std::max(aTiming.expectedFirst * kOverdueFactor, aTiming.expectedFirst + kLeastHedgeDelay);
   base::Duration latest = aTiming.untilAnswer - aTiming.expectedSecond * 3 / 2;
   bool helpsInTime = latest > aTiming.expectedFirst;
   return helpsInTime ? std::min(overdue, latest) : overdue;
--- a/libs/engine/include/engine/Instance.h
+++ b/libs/engine/include/engine/Instance.h
@@ -27,6 +27,7 @@
   /// Where callers and the balancer connect, once started; port 0 in the settings takes a free one.
   std::string CallerAddress() const;
   std::string StatusAddress() const;
+  std::string MetricsAddress() const;
 
   /// Serves until it was asked to stop and has stopped. Precondition: Start succeeded.
   void Run();
--- a/libs/engine/include/engine/Metrics.h
+++ b/libs/engine/include/engine/Metrics.h
@@ -21,9 +21,7 @@
   AttemptFailed,   ///< Attempts without a usable answer.
   BudgetExhausted, ///< Second sends that the budget kept back.
   StoreCall,       ///< Calls to the platform's store.
-  StoreCallFailed, ///< Of these, without a usable answer.
-  LogLinesDropped, ///< Lines over the log's rate.
-  Count_
+  StoreCallFailed  ///< Of these, without a usable answer.
 };
 
 class Metrics
--- a/libs/engine/include/engine/Settings.h
+++ b/libs/engine/include/engine/Settings.h
@@ -17,8 +17,10 @@
   std::map<std::string, std::string> regions;
   /// Where callers connect.
   std::string callerAddress;
-  /// Where /ready and /metrics are served.
+  /// Where /ready is served.
   std::string statusAddress;
+  /// Where /metrics is served.
+  std::string metricsAddress;
   /// Where other instances ask for what this one heard from the store.
   std::string peerAddress;
   std::string storeAddress;
--- a/libs/engine/src/Asio.cpp
+++ b/libs/engine/src/Asio.cpp
@@ -53,11 +53,11 @@
 bool
 IsHopByHop(http::field aField)
 {
-  constexpr std::array kFields = { http::field::connection,        http::field::keep_alive,
-                                   http::field::proxy_connection,  http::field::proxy_authenticate,
-                                   http::field::te,                http::field::trailer,
-                                   http::field::transfer_encoding, http::field::upgrade,
-                                   http::field::proxy_authorization };
+  constexpr std::array kFields = {
+    http::field::connection,         http::field::keep_alive, http::field::proxy_connection,
+    http::field::proxy_authenticate, http::field::te,         http::field::trailer,
+    http::field::transfer_encoding,  http::field::upgrade,    http::field::proxy_authorization
+  };
   return std::find(kFields.begin(), kFields.end(), aField) != kFields.end();
 }
 
--- a/libs/engine/src/GatherRun.cpp
+++ b/libs/engine/src/GatherRun.cpp
@@ -38,8 +38,7 @@
 {
   dispatch::GatherState state;
   state.shards = this->calls.size();
-  state.leastParts =
-    dispatch::LeastParts(state.shards, this->request->route->leastCoverage);
+  state.leastParts = dispatch::LeastParts(state.shards, this->request->route->leastCoverage);
   for (const auto& call : this->calls) {
     state.parts += call->CurrentState() == ServiceCall::State::Answered ? 1 : 0;
     state.pending += call->CurrentState() == ServiceCall::State::Pending ? 1 : 0;
--- a/libs/engine/src/HttpServer.cpp
+++ b/libs/engine/src/HttpServer.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-/// A connection without a request for this long is closed; whoever asks here asks every few seconds.
+/// A connection without a request for this long is closed; whoever asks here asks every few
+/// seconds.
 constexpr base::Duration kIdleTimeout = std::chrono::seconds(30);
 
 /// One connection; requests are answered in turn.
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -70,10 +70,17 @@
     , status(HttpServer::Options{
         .loop = this->loop,
         .endpoint = *ParseEndpoint(this->settings.statusAddress),
-        .handler = [this](const HttpRequest& aRequest,
-                          const HttpServer::Respond& aRespond) {
-          aRespond(this->StatusPage(aRequest));
-        } })
+        .handler =
+          [this](const HttpRequest& aRequest, const HttpServer::Respond& aRespond) {
+            aRespond(this->ReadyPage(aRequest));
+          } })
+    , metricsPage(HttpServer::Options{
+        .loop = this->loop,
+        .endpoint = *ParseEndpoint(this->settings.metricsAddress),
+        .handler =
+          [this](const HttpRequest& aRequest, const HttpServer::Respond& aRespond) {
+            aRespond(this->MetricsPage(aRequest));
+          } })
     , signals(this->loop, SIGTERM, SIGINT, SIGHUP)
     , housekeeping(this->loop)
     , stopTimer(this->loop)
@@ -85,6 +92,9 @@
     if (std::error_code error = this->status.Start()) {
       return error;
     }
+    if (std::error_code error = this->metricsPage.Start()) {
+      return error;
+    }
     if (std::error_code error = this->ingress.Start()) {
       return error;
     }
@@ -101,6 +111,7 @@
   }
 
   std::string CallerAddress() const { return FormatEndpoint(this->ingress.LocalEndpoint()); }
+  std::string MetricsAddress() const { return FormatEndpoint(this->metricsPage.LocalEndpoint()); }
   std::string StatusAddress() const { return FormatEndpoint(this->status.LocalEndpoint()); }
 
   void Run() { this->loop.run(); }
@@ -133,19 +144,23 @@
 private:
   bool IsReady() const { return !this->ingress.IsDraining() && this->world.IsUsable(); }
 
-  HttpResponse StatusPage(const HttpRequest& aRequest) const
+  HttpResponse ReadyPage(const HttpRequest& aRequest) const
   {
-    HttpResponse response(http::status::ok, 11);
-    if (aRequest.target() == "/metrics") {
-      response.set(http::field::content_type, "text/plain; version=0.0.4");
-      response.body() = this->metrics.Write();
-    } else if (aRequest.target() == "/ready") {
-      bool ready = this->IsReady();
-      response.result(ready ? http::status::ok : http::status::service_unavailable);
-      response.body() = ready ? "ready\n" : "not ready\n";
-    } else {
-      response.result(http::status::not_found);
+    if (aRequest.target() != "/ready") {
+      return MakeOwnAnswer(http::status::not_found, "not found");
     }
+    return this->IsReady() ? MakeOwnAnswer(http::status::ok, "ready")
+                           : MakeOwnAnswer(http::status::service_unavailable, "not ready");
+  }
+
+  HttpResponse MetricsPage(const HttpRequest& aRequest) const
+  {
+    if (aRequest.target() != "/metrics") {
+      return MakeOwnAnswer(http::status::not_found, "not found");
+    }
+    HttpResponse response(http::status::ok, 11);
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.body() = this->metrics.Write();
     return response;
   }
 
@@ -210,6 +225,7 @@
   World world;
   Ingress ingress;
   HttpServer status;
+  HttpServer metricsPage;
   asio::signal_set signals;
   Timer housekeeping;
   Timer stopTimer;
@@ -235,6 +251,12 @@
   return this->impl->CallerAddress();
 }
 
+std::string
+Instance::MetricsAddress() const
+{
+  return this->impl->MetricsAddress();
+}
+
 std::string
 Instance::StatusAddress() const
 {
--- a/libs/engine/src/Metrics.cpp
+++ b/libs/engine/src/Metrics.cpp
@@ -11,17 +11,16 @@
 
 namespace {
 
-constexpr size_t kCounters = static_cast<size_t>(Counter::Count_);
+constexpr size_t kCounters = static_cast<size_t>(Counter::StoreCallFailed) + 1;
 constexpr std::array<const char*, kCounters> kNames = {
-  "answered",        "answered_partly",   "refused_not_run", "failed_unknown",
-  "timed_out",       "bad_request",       "caller_left",     "upstream_send",
-  "hedge",           "attempt_failed",    "budget_exhausted", "store_call",
-  "store_call_failed", "log_lines_dropped"
+  "answered",         "answered_partly", "refused_not_run",  "failed_unknown", "timed_out",
+  "bad_request",      "caller_left",     "upstream_send",    "hedge",          "attempt_failed",
+  "budget_exhausted", "store_call",      "store_call_failed"
 };
 /// Bounds in seconds around the users' objectives of 80 to 1,200 ms.
-const prometheus::Histogram::BucketBoundaries kLatencyBounds = { 0.01, 0.025, 0.05, 0.08, 0.12,
-                                                                 0.15, 0.2,   0.4,  0.8,  1.2,
-                                                                 2.0,  6.0 };
+const prometheus::Histogram::BucketBoundaries kLatencyBounds = { 0.01, 0.025, 0.05, 0.08,
+                                                                 0.12, 0.15,  0.2,  0.4,
+                                                                 0.8,  1.2,   2.0,  6.0 };
 
 } // namespace
 
--- a/libs/engine/src/MirrorServer.cpp
+++ b/libs/engine/src/MirrorServer.cpp
@@ -26,10 +26,9 @@
   , server(HttpServer::Options{
       .loop = this->options.loop,
       .endpoint = this->options.endpoint,
-      .handler =
-        [this](const HttpRequest& aRequest, HttpServer::Respond aRespond) {
-          this->Handle(aRequest, std::move(aRespond));
-        } })
+      .handler = [this](const HttpRequest& aRequest, HttpServer::Respond aRespond) {
+        this->Handle(aRequest, std::move(aRespond));
+      } })
 {
 }
 
--- a/libs/engine/src/PlainRun.cpp
+++ b/libs/engine/src/PlainRun.cpp
@@ -81,9 +81,7 @@
   if (!bodiless || !hasLength) {
     response.prepare_payload();
   }
-  this->Respond(std::move(response),
-                Counter::Answered,
-                "asked=" + this->call->Describe());
+  this->Respond(std::move(response), Counter::Answered, "asked=" + this->call->Describe());
 }
 
 void
--- a/libs/engine/src/RunBase.cpp
+++ b/libs/engine/src/RunBase.cpp
@@ -56,8 +56,7 @@
   telemetry::Log(
     telemetry::Event::CallerLeft,
     { { "request", this->request->meta.id },
-      { "after_ms",
-        std::to_string(base::ToMillis(base::Now() - this->request->receivedAt)) } });
+      { "after_ms", std::to_string(base::ToMillis(base::Now() - this->request->receivedAt)) } });
 }
 
 void
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -132,8 +132,8 @@
       triedIndexes.push_back(index);
     }
   }
-  std::optional<size_t> chosen = dispatch::ChooseUpstream(
-    states, triedIndexes, *this->work, aNow, this->options.context.random);
+  std::optional<size_t> chosen =
+    dispatch::ChooseUpstream(states, triedIndexes, *this->work, aNow, this->options.context.random);
   return chosen ? servers[*chosen] : nullptr;
 }
 
@@ -154,17 +154,16 @@
   auto self = this->shared_from_this();
   auto slot = std::make_shared<std::weak_ptr<Attempt>>();
   base::Duration expected = dispatch::ExpectedLatency(aServer->State(), *this->work, aNow);
-  std::shared_ptr<Attempt> attempt =
-    aServer->Send(this->MakeRequest(*aServer, aNow),
-                  incoming.meta.id,
-                  this->work,
-                  repeatable ? UpstreamServer::Reuse::AnyConnection
-                             : UpstreamServer::Reuse::RecentConnection,
-                  [self, slot](ExchangeResult&& aResult) {
-                    if (auto ended = slot->lock()) {
-                      self->OnEnd(ended, std::move(aResult));
-                    }
-                  });
+  std::shared_ptr<Attempt> attempt = aServer->Send(
+    this->MakeRequest(*aServer, aNow),
+    incoming.meta.id,
+    this->work,
+    repeatable ? UpstreamServer::Reuse::AnyConnection : UpstreamServer::Reuse::RecentConnection,
+    [self, slot](ExchangeResult&& aResult) {
+      if (auto ended = slot->lock()) {
+        self->OnEnd(ended, std::move(aResult));
+      }
+    });
   *slot = attempt;
   this->options.context.metrics.Count(Counter::UpstreamSend);
   this->open.push_back(attempt);
@@ -172,10 +171,9 @@
   bool mayHedge = repeatable && this->tries.size() < incoming.route->attempts;
   if (mayHedge) {
     base::Duration another = this->ExpectedOfAnother(aNow).value_or(expected);
-    this->hedgeAt =
-      aNow + dispatch::HedgeDelay({ .expectedFirst = expected,
-                                    .expectedSecond = another,
-                                    .untilAnswer = this->options.answerBy - aNow });
+    this->hedgeAt = aNow + dispatch::HedgeDelay({ .expectedFirst = expected,
+                                                  .expectedSecond = another,
+                                                  .untilAnswer = this->options.answerBy - aNow });
   }
 }
 
--- a/libs/engine/src/Settings.cpp
+++ b/libs/engine/src/Settings.cpp
@@ -56,6 +56,7 @@
   settings.zone = reader.RequiredText("zone");
   settings.callerAddress = ReadAddress(reader, "listen_callers");
   settings.statusAddress = ReadAddress(reader, "listen_status");
+  settings.metricsAddress = ReadAddress(reader, "listen_metrics");
   settings.peerAddress = ReadAddress(reader, "listen_peers");
   settings.storeAddress = ReadAddress(reader, "store");
   settings.maxDescriptors =
--- a/libs/engine/src/StoreMirror.cpp
+++ b/libs/engine/src/StoreMirror.cpp
@@ -49,10 +49,10 @@
   if (!aKind.hasList || aRevision < aKind.listRevision) {
     return { .verdict = MirrorVerdict::Gone };
   }
-  auto next = std::find_if(
-    aKind.history.begin(), aKind.history.end(), [&](const MirroredKind::Changes& aChanges) {
-      return aChanges.to > aRevision;
-    });
+  auto next =
+    std::find_if(aKind.history.begin(),
+                 aKind.history.end(),
+                 [&](const MirroredKind::Changes& aChanges) { return aChanges.to > aRevision; });
   if (next == aKind.history.end()) {
     return { .verdict = MirrorVerdict::Wait };
   }
--- a/libs/engine/src/UpstreamConnection.cpp
+++ b/libs/engine/src/UpstreamConnection.cpp
@@ -263,9 +263,9 @@
   ErrorCode ignored; // The connection is of no use either way.
   this->socket.close(ignored);
   this->options.onClosed(self);
-  this->Finish(ExchangeResult{
-    .end = this->sending ? dispatch::AttemptEnd::Lost : dispatch::AttemptEnd::NotConnected,
-    .cause = aCause });
+  this->Finish(ExchangeResult{ .end = this->sending ? dispatch::AttemptEnd::Lost
+                                                    : dispatch::AttemptEnd::NotConnected,
+                               .cause = aCause });
 }
 
 void
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -136,8 +136,7 @@
 {
   base::Instant now = base::Now();
   uint64_t number = this->nextNumber++;
-  dispatch::OnSent(
-    this->state, number, dispatch::ExpectedLatency(this->state, *aWork, now), now);
+  dispatch::OnSent(this->state, number, dispatch::ExpectedLatency(this->state, *aWork, now), now);
   auto attempt = std::make_shared<Attempt>(
     this->shared_from_this(), std::move(aWork), number, std::move(aOnEnd));
   attempt->connection = this->TakeConnection(aReuse, now);
@@ -171,32 +170,32 @@
 UpstreamServer::OpenConnection()
 {
   std::weak_ptr<UpstreamServer> weak = this->weak_from_this();
-  return std::make_shared<UpstreamConnection>(UpstreamConnection::Options{
-    .loop = this->options.loop,
-    .codec = this->options.codec,
-    .endpoint = this->options.endpoint,
-    .connectTimeout = kConnectTimeout,
-    .onIdle =
-      [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
-        auto self = weak.lock();
-        if (!self || self->state.draining) {
-          aConnection->Close("the server is leaving");
-          return;
-        }
-        self->idle.push_back(aConnection);
-      },
-    .onClosed =
-      [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
-        if (auto self = weak.lock()) {
-          std::erase(self->idle, aConnection);
-        }
-      },
-    .onConnected =
-      [weak](base::Duration aTook) {
-        if (auto self = weak.lock()) {
-          self->NoteRoundTrip(aTook);
-        }
-      } });
+  return std::make_shared<UpstreamConnection>(
+    UpstreamConnection::Options{ .loop = this->options.loop,
+                                 .codec = this->options.codec,
+                                 .endpoint = this->options.endpoint,
+                                 .connectTimeout = kConnectTimeout,
+                                 .onIdle =
+                                   [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
+                                     auto self = weak.lock();
+                                     if (!self || self->state.draining) {
+                                       aConnection->Close("the server is leaving");
+                                       return;
+                                     }
+                                     self->idle.push_back(aConnection);
+                                   },
+                                 .onClosed =
+                                   [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
+                                     if (auto self = weak.lock()) {
+                                       std::erase(self->idle, aConnection);
+                                     }
+                                   },
+                                 .onConnected =
+                                   [weak](base::Duration aTook) {
+                                     if (auto self = weak.lock()) {
+                                       self->NoteRoundTrip(aTook);
+                                     }
+                                   } });
 }
 
 void
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -32,13 +32,13 @@
 
 World::World(Options aOptions)
   : options(std::move(aOptions))
-  , mirror(MirrorServer::Options{
-      .loop = this->options.context.loop,
-      .codec = this->options.codec,
-      .endpoint = this->options.peerEndpoint,
-      .freshness = this->options.mirrorWait + kMirrorSlack,
-      .followsStore =
-        [this](StoreKind aKind) { return !this->Follower(aKind).Source().isMirror; } })
+  , mirror(MirrorServer::Options{ .loop = this->options.context.loop,
+                                  .codec = this->options.codec,
+                                  .endpoint = this->options.peerEndpoint,
+                                  .freshness = this->options.mirrorWait + kMirrorSlack,
+                                  .followsStore = [this](StoreKind aKind) {
+                                    return !this->Follower(aKind).Source().isMirror;
+                                  } })
 {
 }
 
@@ -79,10 +79,8 @@
     .metrics = this->options.context.metrics,
     .chooseSource = [this] { return this->ChooseSource(); },
     .onMirrorFailed = [this](const StoreSource& aSource) { this->OnMirrorFailed(aSource); },
-    .onPageBody =
-      [this, aKind](const std::string& aAfter, Body aBody) {
-        this->OnPageBody(aKind, aAfter, std::move(aBody));
-      },
+    .onPageBody = [this, aKind](const std::string& aAfter,
+                                Body aBody) { this->OnPageBody(aKind, aAfter, std::move(aBody)); },
     .onChangesBody =
       [this, aKind](uint64_t aTo, bool aHasChanges, Body aBody) {
         this->OnChangesBody(aKind, aTo, aHasChanges, std::move(aBody));
@@ -113,8 +111,7 @@
 World::OnLost(StoreKind aKind, const char* aCause)
 {
   this->mirror.TurnAway(aKind);
-  telemetry::Log(telemetry::Event::StoreLost,
-                 { { "follows", NameOf(aKind) }, { "why", aCause } });
+  telemetry::Log(telemetry::Event::StoreLost, { { "follows", NameOf(aKind) }, { "why", aCause } });
   if (aKind == StoreKind::Servers) {
     directory::OnStoreLost(this->servers);
   }
@@ -283,8 +280,7 @@
 World::OnCensus(const directory::Census& aCensus)
 {
   base::Instant now = base::Now();
-  this->mirrors =
-    directory::ChooseMirrors(aCensus, this->options.region, kMirrorsOfRegion, now);
+  this->mirrors = directory::ChooseMirrors(aCensus, this->options.region, kMirrorsOfRegion, now);
   size_t count = directory::CountLive(aCensus, now);
   if (count == this->instances) {
     return;
--- a/test/engine/EngineStage.cpp
+++ b/test/engine/EngineStage.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-
 Json::Value
 MakeRoute(const std::string& aName, const std::string& aPrefix, const std::string& aType)
 {
@@ -120,6 +119,7 @@
                            .regions = { { "a", "r" }, { "b", "r" } },
                            .callerAddress = "127.0.0.1:0",
                            .statusAddress = "127.0.0.1:0",
+                           .metricsAddress = "127.0.0.1:0",
                            .peerAddress = "127.0.0.1:0",
                            .storeAddress = this->store.Address(),
                            .maxDescriptors = 512,
--- a/test/engine/EngineStage.h
+++ b/test/engine/EngineStage.h
@@ -3,10 +3,10 @@
 
 #include "Caller.h"
 
+#include <atomic>
 #include <engine/Instance.h>
 #include <fakes/ObjectStore.h>
 #include <fakes/SearchServer.h>
-#include <atomic>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -46,6 +46,7 @@
   bool IsReady();
   bool IsRunning() const { return this->instance->IsRunning(); }
 
+  std::string MetricsAddress() const { return this->instance->Get().MetricsAddress(); }
   Caller Connect() { return Caller(this->instance->Get().CallerAddress()); }
 
   /// Writes the standing configuration as a version, with changes made to it first.
--- a/test/engine/StoreTest.cpp
+++ b/test/engine/StoreTest.cpp
@@ -128,6 +128,20 @@
   BOOST_TEST(leaving.Arrivals() == before);
 }
 
+BOOST_AUTO_TEST_CASE(counts_what_it_does_for_whoever_asks)
+{
+  this->StartInstance();
+  BOOST_REQUIRE(this->AwaitReady());
+  BOOST_TEST(IsServed(*this, "/p/1", "counted"));
+  Caller reader(this->MetricsAddress());
+  reader.Send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+  auto page = reader.Receive();
+  BOOST_REQUIRE(page.has_value());
+  std::string answered = "sapphirewind_events_total{event=\"answered\"} 1\n";
+  BOOST_TEST(page->body().find(answered) != std::string::npos);
+  BOOST_TEST(page->body().find("sapphirewind_latency_seconds_bucket") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(registers_itself)
 {
   this->StartInstance();
--- a/test/soak/Fleet.cpp
+++ b/test/soak/Fleet.cpp
@@ -40,7 +40,8 @@
 {
   net::Endpoint target;
   net::ParseEndpoint(aAddress, target);
-  auto link = std::make_unique<fakes::Relay>(net::Endpoint{ .address = kLoopback, .port = 0 }, target);
+  auto link =
+    std::make_unique<fakes::Relay>(net::Endpoint{ .address = kLoopback, .port = 0 }, target);
   if (std::error_code error = link->Start()) {
     throw std::system_error(error);
   }
@@ -120,6 +121,7 @@
   }
   settings["listen_callers"] = instance.callerAddress;
   settings["listen_status"] = instance.statusAddress;
+  settings["listen_metrics"] = AddressOf(FreePort(random));
   settings["listen_peers"] = AddressOf(FreePort(random));
   settings["store"] = AddressOf(instance.storeLink->Port());
   settings["max_descriptors"] = 512;
--- a/test/soak/Load.cpp
+++ b/test/soak/Load.cpp
@@ -51,8 +51,8 @@
   if (aAsk.target.compare(0, 3, "/q/") == 0) {
     return WrongWithQuery(aAsk, aAnswer);
   }
-  bool own = Header(aAnswer, "Sapphirewind-Server-Stamp").find("." + aAsk.id + ".") !=
-             std::string::npos;
+  bool own =
+    Header(aAnswer, "Sapphirewind-Server-Stamp").find("." + aAsk.id + ".") != std::string::npos;
   bool whole = aAnswer.body() == fakes::SearchServer::RecordsOf("p", aAsk.target);
   return own && whole ? "" : "another answer than its server's";
 }
--- a/test/soak/Main.cpp
+++ b/test/soak/Main.cpp
@@ -103,8 +103,8 @@
   gflags::SetUsageMessage("injects faults around real instances and checks what they promise");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   std::signal(SIGPIPE, SIG_IGN);
-  std::filesystem::path folder = std::filesystem::temp_directory_path() /
-                                 ("sapphirewind-soak-" + std::to_string(getpid()));
+  std::filesystem::path folder =
+    std::filesystem::temp_directory_path() / ("sapphirewind-soak-" + std::to_string(getpid()));
   std::filesystem::create_directories(folder);
   LoadRecord record;
   {
