Share a server's connections by half, so that a restarted fleet finds room

Ruled out: the store (configuration in within 0.1 s of the restart) and processor time. All instances together now use 0.55 of a limit, and close what they do not use.

--- a/libs/directory/include/directory/Census.h
+++ b/libs/directory/include/directory/Census.h
@@ -55,6 +55,10 @@
 size_t
 CountLive(const Census& aCensus, base::Instant aNow);
 
+/// Live instances by region.
+std::map<std::string, size_t>
+CountByRegion(const Census& aCensus, base::Instant aNow);
+
 /// The live instances of a region that follow the store for the others there, at most aCount: the
 /// same at every instance that sees the same entries. Empty when so few live there that each may
 /// follow the store itself.
--- a/libs/directory/src/Census.cpp
+++ b/libs/directory/src/Census.cpp
@@ -41,6 +41,18 @@
     }));
 }
 
+std::map<std::string, size_t>
+CountByRegion(const Census& aCensus, base::Instant aNow)
+{
+  std::map<std::string, size_t> counts;
+  for (const auto& [name, sighting] : aCensus.sightings) {
+    if (IsLive(aCensus, sighting, aNow)) {
+      ++counts[sighting.entry.region];
+    }
+  }
+  return counts;
+}
+
 std::vector<InstanceEntry>
 ChooseMirrors(const Census& aCensus, const std::string& aRegion, size_t aCount, base::Instant aNow)
 {
--- a/libs/directory/test/CensusTest.cpp
+++ b/libs/directory/test/CensusTest.cpp
@@ -52,6 +52,15 @@
   BOOST_TEST((BeatInterval(6500) == kBeatSpacing * 6500));
 }
 
+BOOST_AUTO_TEST_CASE(counts_each_region)
+{
+  Census census = OfSize(2);
+  Observe(census, Named("elsewhere", 1, "other"), kStart);
+  auto counts = CountByRegion(census, kStart);
+  BOOST_TEST(counts["r"] == 2U);
+  BOOST_TEST(counts["other"] == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE(choosing_mirrors)
 
 BOOST_AUTO_TEST_CASE(needs_none_while_few_live_in_a_region)
--- /dev/null
+++ b/libs/dispatch/include/dispatch/ConnectionShare.h
@@ -0,0 +1,38 @@
+/// @file How many connections one instance may hold to a server that bounds those of all.
+///
+/// Connections of instances that lost power stay open at the server until it times them out. So all
+/// instances together use little more than half of what it accepts, and a fleet that restarts finds
+/// room beside its former connections. Instances in the server's region get the larger part, as
+/// they send there first.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+
+namespace sapphirewind::dispatch {
+
+struct ShareInput
+{
+  /// Connections that the server accepts from all instances.
+  unsigned limit = 1;
+  /// Instances in the server's region, and everywhere.
+  size_t instancesInRegion = 1;
+  size_t instances = 1;
+  /// Whether this instance is in the server's region.
+  bool sameRegion = true;
+};
+
+struct ConnectionShare
+{
+  /// Connections in use at a time; at least one.
+  unsigned inUse = 1;
+  /// Connections that are kept while unused.
+  unsigned kept = 1;
+
+  auto operator<=>(const ConnectionShare&) const = default;
+};
+
+ConnectionShare
+ShareConnections(const ShareInput& aInput);
+
+} // namespace sapphirewind::dispatch
--- /dev/null
+++ b/libs/dispatch/src/ConnectionShare.cpp
@@ -0,0 +1,35 @@
+#include <dispatch/ConnectionShare.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirewind::dispatch {
+
+namespace {
+
+/// The part of a server's connections that all instances use together.
+constexpr double kUsedPart = 0.55;
+/// The part of these for the instances of the server's region.
+constexpr double kPartOfRegion = 0.6;
+
+} // namespace
+
+ConnectionShare
+ShareConnections(const ShareInput& aInput)
+{
+  size_t instances = std::max<size_t>(1, aInput.instances);
+  size_t inRegion = std::clamp<size_t>(aInput.instancesInRegion, 1, instances);
+  size_t elsewhere = std::max<size_t>(1, instances - inRegion);
+  bool allInRegion = instances == inRegion;
+  double part = allInRegion ? 1.0 : (aInput.sameRegion ? kPartOfRegion : 1.0 - kPartOfRegion);
+  double sharers = static_cast<double>(aInput.sameRegion ? inRegion : elsewhere);
+  double share = kUsedPart * static_cast<double>(aInput.limit) * part / sharers;
+  ConnectionShare result;
+  result.inUse = static_cast<unsigned>(std::max(1.0, std::round(share)));
+  // Where not even one connection is due, none is held beyond its use.
+  constexpr double kWholeConnection = 0.5;
+  result.kept = share >= kWholeConnection ? 1 : 0;
+  return result;
+}
+
+} // namespace sapphirewind::dispatch
--- /dev/null
+++ b/libs/dispatch/test/ConnectionShareTest.cpp
@@ -0,0 +1,52 @@
+#include <boost/test/unit_test.hpp>
+#include <dispatch/ConnectionShare.h>
+
+using namespace sapphirewind::dispatch;
+
+namespace {
+
+/// What all instances hold at one server if each uses its share in full.
+size_t
+HeldByAll(unsigned aLimit, size_t aInRegion, size_t aInstances)
+{
+  ShareInput near{
+    .limit = aLimit, .instancesInRegion = aInRegion, .instances = aInstances, .sameRegion = true
+  };
+  ShareInput far = near;
+  far.sameRegion = false;
+  return aInRegion * ShareConnections(near).inUse +
+         (aInstances - aInRegion) * ShareConnections(far).inUse;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_share_of_a_servers_connections)
+
+BOOST_AUTO_TEST_CASE(leaves_room_beside_kept_connections_of_instances_that_lost_power)
+{
+  // Limits and fleets of both users; one kept connection an instance may dangle.
+  BOOST_TEST(HeldByAll(30, 2, 6) + 6 <= 30U);
+  BOOST_TEST(HeldByAll(26, 3, 9) + 9 <= 26U);
+  BOOST_TEST(HeldByAll(96, 2, 6) + 6 <= 96U);
+  BOOST_TEST(HeldByAll(41, 3, 9) + 9 <= 41U);
+}
+
+BOOST_AUTO_TEST_CASE(is_larger_in_the_servers_region)
+{
+  ShareInput near{ .limit = 30, .instancesInRegion = 2, .instances = 6, .sameRegion = true };
+  ShareInput far = near;
+  far.sameRegion = false;
+  BOOST_TEST(ShareConnections(near).inUse > ShareConnections(far).inUse);
+}
+
+BOOST_AUTO_TEST_CASE(is_at_least_one_and_kept_only_when_a_whole_one_is_due)
+{
+  ShareInput crowded{ .limit = 68, .instancesInRegion = 24, .instances = 73, .sameRegion = false };
+  BOOST_TEST(ShareConnections(crowded).inUse == 1U);
+  BOOST_TEST(ShareConnections(crowded).kept == 0U);
+  ShareInput alone{ .limit = 30 };
+  BOOST_TEST(ShareConnections(alone).inUse >= 10U);
+  BOOST_TEST(ShareConnections(alone).kept == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/engine/include/engine/Fleet.h
+++ b/libs/engine/include/engine/Fleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <directory/RouteTable.h>
+#include <dispatch/ConnectionShare.h>
 #include <dispatch/Split.h>
 #include <engine/UpstreamServer.h>
 #include <map>
@@ -36,8 +37,8 @@
   /// Takes in which servers exist. Servers that left keep what is under way and get nothing new.
   void Update(const directory::ServerTable& aTable, const directory::RouteTable* aRoutes);
 
-  /// Tells how many instances share connections and budgets.
-  void SetInstances(size_t aInstances);
+  /// Tells how many instances share connections and budgets, by region.
+  void SetInstances(const std::map<std::string, size_t>& aByRegion);
 
   const Servers& ServersOf(const std::string& aService) const;
 
@@ -53,11 +54,14 @@
   size_t Size() const { return this->byId.size(); }
 
 private:
-  std::shared_ptr<UpstreamServer> Create(const directory::Server& aServer, unsigned aConnections);
+  std::shared_ptr<UpstreamServer> Create(const directory::Server& aServer);
+  dispatch::ConnectionShare ShareOf(const directory::Server& aServer, unsigned aLimit) const;
+  const std::string& RegionOf(const std::string& aZone) const;
   base::Duration AssumedRoundTrip(const std::string& aZone) const;
 
   Options options;
   size_t instances;
+  std::map<std::string, size_t> instancesByRegion;
   std::map<std::string, std::shared_ptr<UpstreamServer>> byId;
   std::unordered_map<std::string, Servers> byService;
   std::unordered_map<std::string, std::shared_ptr<dispatch::WorkEstimate>> work;
--- a/libs/engine/include/engine/UpstreamServer.h
+++ b/libs/engine/include/engine/UpstreamServer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <directory/ServerTable.h>
+#include <dispatch/ConnectionShare.h>
 #include <dispatch/Upstream.h>
 #include <engine/UpstreamConnection.h>
 #include <memory>
@@ -57,7 +58,6 @@
     Tcp::endpoint endpoint;
     /// Until a connection was made and timed.
     base::Duration assumedRoundTrip{ 0 };
-    unsigned maxInFlight = 1;
   };
 
   explicit UpstreamServer(Options aOptions);
@@ -84,7 +84,11 @@
   /// Sends nothing here any more and closes idle connections.
   void Retire();
 
-  /// Closes connections that the server may be about to close.
+  /// Bounds the connections of this instance.
+  void SetShare(const dispatch::ConnectionShare& aShare);
+
+  /// Closes connections that the server may be about to close, and those beyond the share that is
+  /// kept unused.
   void CloseExpired(base::Instant aNow);
 
 private:
@@ -96,6 +100,7 @@
   Options options;
   dispatch::Upstream state;
   std::vector<std::shared_ptr<UpstreamConnection>> idle;
+  unsigned keptIdle = 1;
   uint64_t nextNumber = 1;
   bool roundTripKnown = false;
 };
--- a/libs/engine/src/Fleet.cpp
+++ b/libs/engine/src/Fleet.cpp
@@ -34,15 +34,35 @@
   if (aZone == this->options.zone) {
     return kSameZone;
   }
-  auto own = this->options.regions.find(this->options.zone);
-  auto other = this->options.regions.find(aZone);
-  bool sameRegion = own != this->options.regions.end() && other != this->options.regions.end() &&
-                    own->second == other->second;
+  bool sameRegion = this->RegionOf(aZone) == this->RegionOf(this->options.zone);
   return sameRegion ? kSameRegion : kOtherRegion;
 }
 
+const std::string&
+Fleet::RegionOf(const std::string& aZone) const
+{
+  // A zone that the settings do not name is a region of its own.
+  auto region = this->options.regions.find(aZone);
+  return region == this->options.regions.end() ? aZone : region->second;
+}
+
+dispatch::ConnectionShare
+Fleet::ShareOf(const directory::Server& aServer, unsigned aLimit) const
+{
+  const std::string& region = this->RegionOf(aServer.zone);
+  auto inRegion = this->instancesByRegion.find(region);
+  // Until instances were counted, they are taken to stand evenly in three regions.
+  constexpr size_t kAssumedRegions = 3;
+  size_t assumed = this->instances / kAssumedRegions;
+  return dispatch::ShareConnections(
+    { .limit = aLimit,
+      .instancesInRegion = inRegion == this->instancesByRegion.end() ? assumed : inRegion->second,
+      .instances = this->instances,
+      .sameRegion = region == this->RegionOf(this->options.zone) });
+}
+
 std::shared_ptr<UpstreamServer>
-Fleet::Create(const directory::Server& aServer, unsigned aConnections)
+Fleet::Create(const directory::Server& aServer)
 {
   std::optional<Tcp::endpoint> endpoint = ParseEndpoint(aServer.address);
   if (!endpoint) {
@@ -55,8 +75,7 @@
                              .codec = this->options.codec,
                              .server = aServer,
                              .endpoint = *endpoint,
-                             .assumedRoundTrip = this->AssumedRoundTrip(aServer.zone),
-                             .maxInFlight = aConnections });
+                             .assumedRoundTrip = this->AssumedRoundTrip(aServer.zone) });
 }
 
 void
@@ -68,18 +87,16 @@
     const directory::Service* service =
       aRoutes == nullptr ? nullptr : aRoutes->FindService(entry.server.service);
     unsigned limit = service == nullptr ? 1 : service->maxConnections;
-    unsigned connections = std::max(1U, limit / static_cast<unsigned>(this->instances));
     auto known = this->byId.find(id);
     bool same = known != this->byId.end() &&
                 known->second->Description().address == entry.server.address &&
                 known->second->Description().startedAtMs == entry.server.startedAtMs &&
                 known->second->Description().service == entry.server.service;
-    std::shared_ptr<UpstreamServer> server =
-      same ? known->second : this->Create(entry.server, connections);
+    std::shared_ptr<UpstreamServer> server = same ? known->second : this->Create(entry.server);
     if (!server) {
       continue;
     }
-    server->State().maxInFlight = connections;
+    server->SetShare(this->ShareOf(entry.server, limit));
     if (entry.server.draining) {
       server->Retire();
     }
@@ -96,9 +113,14 @@
 }
 
 void
-Fleet::SetInstances(size_t aInstances)
+Fleet::SetInstances(const std::map<std::string, size_t>& aByRegion)
 {
-  this->instances = std::max<size_t>(1, aInstances);
+  this->instancesByRegion = aByRegion;
+  this->instances = 0;
+  for (const auto& [region, count] : aByRegion) {
+    this->instances += count;
+  }
+  this->instances = std::max<size_t>(1, this->instances);
 }
 
 const Fleet::Servers&
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -13,6 +13,9 @@
 constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(250);
 /// A kept connection in use this recently is unlikely to be closed by the server meanwhile.
 constexpr base::Duration kRecentUse = std::chrono::seconds(1);
+/// Connections beyond those that are kept close when unused for this long: past the gaps of steady
+/// traffic, and soon, as the server may need the room.
+constexpr base::Duration kSurplusIdle = std::chrono::milliseconds(1500);
 /// An attempt without an answer for this long is a failure of the server; ordinary pauses are
 /// shorter.
 constexpr base::Duration kSilenceIsFailure = std::chrono::milliseconds(500);
@@ -122,7 +125,6 @@
 {
   this->state.roundTrip = this->options.assumedRoundTrip;
   this->state.slots = std::max(1U, this->options.server.slots);
-  this->state.maxInFlight = this->options.maxInFlight;
   this->state.draining = this->options.server.draining;
   this->state.coldUntil = base::Now() + this->options.server.coldRemaining;
 }
@@ -217,13 +219,23 @@
   }
 }
 
+void
+UpstreamServer::SetShare(const dispatch::ConnectionShare& aShare)
+{
+  this->state.maxInFlight = aShare.inUse;
+  this->keptIdle = aShare.kept;
+}
+
 void
 UpstreamServer::CloseExpired(base::Instant aNow)
 {
-  std::vector<std::shared_ptr<UpstreamConnection>> kept = this->idle;
-  for (const auto& connection : kept) {
-    if (aNow >= connection->UsableUntil()) {
-      connection->Close("kept long enough");
+  std::vector<std::shared_ptr<UpstreamConnection>> candidates = this->idle;
+  // The one that was used last is at the back, and is the one to keep.
+  size_t surplus = candidates.size() > this->keptIdle ? candidates.size() - this->keptIdle : 0;
+  for (size_t index = 0; index < candidates.size(); ++index) {
+    bool unused = index < surplus && aNow - candidates[index]->IdleSince() >= kSurplusIdle;
+    if (unused || aNow >= candidates[index]->UsableUntil()) {
+      candidates[index]->Close("kept long enough");
     }
   }
 }
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -289,7 +289,7 @@
   telemetry::Log(telemetry::Event::InstancesCounted,
                  { { "instances", std::to_string(count) },
                    { "mirrors", std::to_string(this->mirrors.size()) } });
-  this->options.context.fleet.SetInstances(count);
+  this->options.context.fleet.SetInstances(directory::CountByRegion(aCensus, now));
   this->UpdateFleet();
 }
 
