--- a/libs/dispatch/include/dispatch/ConnectionShare.h
+++ b/libs/dispatch/include/dispatch/ConnectionShare.h
@@ -1,11 +1,12 @@
 /// @file How many connections one instance may hold to a server that bounds those of all.
 ///
-/// Connections of instances that lost power stay open at the server until it times them out. So all
-/// instances together use little more than half of what it accepts, and a fleet that restarts finds
-/// room beside its former connections. Instances in the server's region get the larger part, as
-/// they send there first.
+/// Connections of instances that lost power stay open at the server until it times them out. So for
+/// some time after their start instances together use little more than half of what it accepts: a
+/// fleet that restarts finds room beside its former connections. Instances in the server's region
+/// get the larger part, as they send there first.
 #pragma once
 
+#include <base/Time.h>
 #include <compare>
 #include <cstddef>
 
@@ -20,8 +21,14 @@
   size_t instances = 1;
   /// Whether this instance is in the server's region.
   bool sameRegion = true;
+  /// Whether this instance started lately.
+  bool startedLately = false;
 };
 
+/// How long after its start an instance is careful: past the time after which servers close
+/// connections that are not used.
+constexpr base::Duration kCarefulAfterStart = std::chrono::seconds(15);
+
 struct ConnectionShare
 {
   /// Connections in use at a time; at least one.
--- a/libs/dispatch/src/ConnectionShare.cpp
+++ b/libs/dispatch/src/ConnectionShare.cpp
@@ -7,10 +7,14 @@
 
 namespace {
 
-/// The part of a server's connections that all instances use together.
-constexpr double kUsedPart = 0.55;
+/// The part of a server's connections that all instances use together; the rest covers counts that
+/// are out of date.
+constexpr double kUsedPart = 0.9;
+/// The same while connections from before a restart may still be open.
+constexpr double kUsedPartAfterStart = 0.55;
 /// The part of these for the instances of the server's region.
-constexpr double kPartOfRegion = 0.6;
+constexpr double kPartOfRegion = 0.5;
+constexpr double kPartOfRegionAfterStart = 0.6;
 
 } // namespace
 
@@ -21,13 +25,15 @@
   size_t inRegion = std::clamp<size_t>(aInput.instancesInRegion, 1, instances);
   size_t elsewhere = std::max<size_t>(1, instances - inRegion);
   bool allInRegion = instances == inRegion;
-  double part = allInRegion ? 1.0 : (aInput.sameRegion ? kPartOfRegion : 1.0 - kPartOfRegion);
+  double partOfRegion = aInput.startedLately ? kPartOfRegionAfterStart : kPartOfRegion;
+  double part = allInRegion ? 1.0 : (aInput.sameRegion ? partOfRegion : 1.0 - partOfRegion);
+  double used = aInput.startedLately ? kUsedPartAfterStart : kUsedPart;
   double sharers = static_cast<double>(aInput.sameRegion ? inRegion : elsewhere);
-  double share = kUsedPart * static_cast<double>(aInput.limit) * part / sharers;
+  double share = used * static_cast<double>(aInput.limit) * part / sharers;
   ConnectionShare result;
   result.inUse = static_cast<unsigned>(std::max(1.0, std::round(share)));
   // Where not even one connection is due, none is held beyond its use.
-  constexpr double kWholeConnection = 0.5;
+  constexpr double kWholeConnection = 1.0;
   result.kept = share >= kWholeConnection ? 1 : 0;
   return result;
 }
--- a/libs/engine/include/engine/Fleet.h
+++ b/libs/engine/include/engine/Fleet.h
@@ -35,7 +35,9 @@
   explicit Fleet(Options aOptions);
 
   /// Takes in which servers exist. Servers that left keep what is under way and get nothing new.
-  void Update(const directory::ServerTable& aTable, const directory::RouteTable* aRoutes);
+  void Update(const directory::ServerTable& aTable,
+              const directory::RouteTable* aRoutes,
+              base::Instant aNow);
 
   /// Tells how many instances share connections and budgets, by region.
   void SetInstances(const std::map<std::string, size_t>& aByRegion);
@@ -55,12 +57,15 @@
 
 private:
   std::shared_ptr<UpstreamServer> Create(const directory::Server& aServer);
-  dispatch::ConnectionShare ShareOf(const directory::Server& aServer, unsigned aLimit) const;
+  dispatch::ConnectionShare ShareOf(const directory::Server& aServer,
+                                    unsigned aLimit,
+                                    base::Instant aNow) const;
   const std::string& RegionOf(const std::string& aZone) const;
   base::Duration AssumedRoundTrip(const std::string& aZone) const;
 
   Options options;
   size_t instances;
+  base::Instant startedAt;
   std::map<std::string, size_t> instancesByRegion;
   std::map<std::string, std::shared_ptr<UpstreamServer>> byId;
   std::unordered_map<std::string, Servers> byService;
--- a/libs/engine/src/Fleet.cpp
+++ b/libs/engine/src/Fleet.cpp
@@ -25,6 +25,7 @@
 Fleet::Fleet(Options aOptions)
   : options(std::move(aOptions))
   , instances(kAssumedInstances)
+  , startedAt(base::Now())
 {
 }
 
@@ -47,7 +48,7 @@
 }
 
 dispatch::ConnectionShare
-Fleet::ShareOf(const directory::Server& aServer, unsigned aLimit) const
+Fleet::ShareOf(const directory::Server& aServer, unsigned aLimit, base::Instant aNow) const
 {
   const std::string& region = this->RegionOf(aServer.zone);
   auto inRegion = this->instancesByRegion.find(region);
@@ -58,7 +59,8 @@
     { .limit = aLimit,
       .instancesInRegion = inRegion == this->instancesByRegion.end() ? assumed : inRegion->second,
       .instances = this->instances,
-      .sameRegion = region == this->RegionOf(this->options.zone) });
+      .sameRegion = region == this->RegionOf(this->options.zone),
+      .startedLately = aNow - this->startedAt < dispatch::kCarefulAfterStart });
 }
 
 std::shared_ptr<UpstreamServer>
@@ -79,7 +81,9 @@
 }
 
 void
-Fleet::Update(const directory::ServerTable& aTable, const directory::RouteTable* aRoutes)
+Fleet::Update(const directory::ServerTable& aTable,
+              const directory::RouteTable* aRoutes,
+              base::Instant aNow)
 {
   std::map<std::string, std::shared_ptr<UpstreamServer>> next;
   this->byService.clear();
@@ -96,7 +100,7 @@
     if (!server) {
       continue;
     }
-    server->SetShare(this->ShareOf(entry.server, limit));
+    server->SetShare(this->ShareOf(entry.server, limit, aNow));
     if (entry.server.draining) {
       server->Retire();
     }
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -45,6 +45,7 @@
 std::error_code
 World::Start()
 {
+  this->startedAt = base::Now();
   if (std::error_code error = this->mirror.Start()) {
     return error;
   }
@@ -256,7 +257,10 @@
 void
 World::KeepHouse(base::Instant aNow)
 {
-  if (directory::ExpireLapsed(this->servers, aNow)) {
+  bool expired = directory::ExpireLapsed(this->servers, aNow);
+  bool settles = !this->settled && aNow >= this->startedAt + dispatch::kCarefulAfterStart;
+  this->settled = this->settled || settles;
+  if (expired || settles) {
     this->UpdateFleet();
   }
 }
@@ -296,7 +300,7 @@
 void
 World::UpdateFleet()
 {
-  this->options.context.fleet.Update(this->servers, this->routes.get());
+  this->options.context.fleet.Update(this->servers, this->routes.get(), base::Now());
   if (!this->wasUsable && this->IsUsable()) {
     this->wasUsable = true;
     this->options.onUsable();
--- a/libs/engine/src/World.h
+++ b/libs/engine/src/World.h
@@ -70,6 +70,9 @@
   /// When a mirror last failed, by address.
   std::map<std::string, base::Instant> mirrorFailures;
   bool wasUsable = false;
+  base::Instant startedAt{};
+  /// The time of care after the start is over.
+  bool settled = false;
   std::shared_ptr<const directory::RouteTable> routes;
   directory::ServerTable servers;
 };
