--- a/libs/engine/include/engine/Fleet.h
+++ b/libs/engine/include/engine/Fleet.h
@@ -42,6 +42,9 @@
   /// Tells how many instances share connections and budgets, by region.
   void SetInstances(const std::map<std::string, size_t>& aByRegion);
 
+  /// Changes what second sends are allowed.
+  void SetExtra(double aShare, double aMinimum);
+
   const Servers& ServersOf(const std::string& aService) const;
 
   std::shared_ptr<dispatch::WorkEstimate> WorkOf(const std::string& aRoute);
--- a/libs/engine/include/engine/Instance.h
+++ b/libs/engine/include/engine/Instance.h
@@ -3,7 +3,9 @@
 
 #include <engine/Settings.h>
 #include <engine/Wire.h>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <system_error>
 
 namespace sapphirewind::engine {
@@ -16,6 +18,9 @@
     Settings settings;
     WireCodec wire;
     StoreCodec store;
+    /// The settings as they stand now if they changed since the last call and are valid. Asked at
+    /// SIGHUP and every few seconds, as the file may also change without a signal. May be empty.
+    std::function<std::optional<Settings>()> readChangedSettings;
   };
 
   explicit Instance(Options aOptions);
--- a/libs/engine/src/Fleet.cpp
+++ b/libs/engine/src/Fleet.cpp
@@ -127,6 +127,13 @@
   this->instances = std::max<size_t>(1, this->instances);
 }
 
+void
+Fleet::SetExtra(double aShare, double aMinimum)
+{
+  this->options.extraShare = aShare;
+  this->options.extraMinimum = aMinimum;
+}
+
 const Fleet::Servers&
 Fleet::ServersOf(const std::string& aService) const
 {
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -25,6 +25,8 @@
 /// A watch that others depend on, or that depends on another's, waits for this part of the time
 /// within which a leaving server must get no more requests: news may pass two such waits.
 constexpr int kMirrorWaitPart = 3;
+/// How often the settings file is looked at without a signal.
+constexpr base::Duration kSettingsInterval = std::chrono::seconds(5);
 /// How often a stopping instance looks whether its last caller has left.
 constexpr base::Duration kStopPoll = std::chrono::milliseconds(50);
 
@@ -42,6 +44,7 @@
 public:
   explicit Impl(Options aOptions)
     : settings(std::move(aOptions.settings))
+    , readChangedSettings(std::move(aOptions.readChangedSettings))
     , wire(aOptions.wire)
     , fleet(Fleet::Options{ .loop = this->loop,
                             .codec = this->wire,
@@ -171,8 +174,7 @@
         return;
       }
       if (aSignal == SIGHUP) {
-        // All that the settings state is addresses and shares that hold for the process's life.
-        telemetry::Log(telemetry::Event::SettingsReloaded, { { "changed", "nothing" } });
+        this->ReloadSettings();
       } else {
         this->Stop();
       }
@@ -180,6 +182,32 @@
     });
   }
 
+  /// Takes over what may change while the process runs. Addresses, names and places hold for its
+  /// life; a change of these is logged and takes a restart.
+  void ReloadSettings()
+  {
+    if (!this->readChangedSettings) {
+      return;
+    }
+    std::optional<Settings> changed = this->readChangedSettings();
+    if (!changed) {
+      return;
+    }
+    Settings next = this->settings;
+    next.extraShare = changed->extraShare;
+    next.extraMinimum = changed->extraMinimum;
+    next.watchWait = changed->watchWait;
+    next.drain = changed->drain;
+    next.stopWithin = changed->stopWithin;
+    bool needsRestart = next != *changed;
+    telemetry::Log(telemetry::Event::SettingsReloaded,
+                   { { "applied", next == this->settings ? "nothing" : "limits" },
+                     { "needs_restart", needsRestart ? "yes" : "no" } });
+    this->settings = next;
+    this->fleet.SetExtra(next.extraShare, next.extraMinimum);
+    this->world.SetWaits(next.watchWait, next.drain / kMirrorWaitPart);
+  }
+
   void OnUsable()
   {
     telemetry::Log(telemetry::Event::Ready, { { "servers", std::to_string(this->fleet.Size()) } });
@@ -191,6 +219,10 @@
     base::Instant now = base::Now();
     this->world.KeepHouse(now);
     this->fleet.CloseExpired(now);
+    if (now - this->settingsReadAt >= kSettingsInterval) {
+      this->settingsReadAt = now;
+      this->ReloadSettings();
+    }
     this->housekeeping.expires_after(kHousekeeping);
     this->housekeeping.async_wait([this](ErrorCode aError) {
       if (!aError) {
@@ -217,6 +249,7 @@
   }
 
   Settings settings;
+  std::function<std::optional<Settings>()> readChangedSettings;
   WireCodec wire;
   Loop loop{ 1 };
   Metrics metrics;
@@ -230,6 +263,7 @@
   Timer housekeeping;
   Timer stopTimer;
   base::Instant stopStartedAt{};
+  base::Instant settingsReadAt = base::Now();
 };
 
 Instance::Instance(Options aOptions)
--- a/libs/engine/src/MirrorServer.h
+++ b/libs/engine/src/MirrorServer.h
@@ -29,6 +29,8 @@
 
   Tcp::endpoint LocalEndpoint() const { return this->server.LocalEndpoint(); }
 
+  void SetFreshness(base::Duration aFreshness) { this->options.freshness = aFreshness; }
+
   MirroredKind& Kind(StoreKind aKind);
 
   /// Answers those that wait for changes of a kind, if there are any now.
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -265,6 +265,14 @@
   }
 }
 
+void
+World::SetWaits(base::Duration aWatchWait, base::Duration aMirrorWait)
+{
+  this->options.watchWait = aWatchWait;
+  this->options.mirrorWait = aMirrorWait;
+  this->mirror.SetFreshness(aMirrorWait + kMirrorSlack);
+}
+
 bool
 World::IsUsable() const
 {
--- a/libs/engine/src/World.h
+++ b/libs/engine/src/World.h
@@ -37,6 +37,9 @@
   /// Gives up entries whose grace is over.
   void KeepHouse(base::Instant aNow);
 
+  /// Changes how long watches wait, from the next one on.
+  void SetWaits(base::Duration aWatchWait, base::Duration aMirrorWait);
+
   /// The configuration in force; null before the first.
   const std::shared_ptr<const directory::RouteTable>& Routes() const { return this->routes; }
 
--- a/programs/sapphirewind.cpp
+++ b/programs/sapphirewind.cpp
@@ -23,18 +23,24 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitFailed = 1;
 
-std::optional<engine::Settings>
-ReadSettings(const std::string& aPath)
+std::optional<std::string>
+ReadFile(const std::string& aPath)
 {
   std::ifstream file(aPath);
   if (!file) {
-    std::cerr << "sapphirewind: cannot read " << aPath << "\n";
     return std::nullopt;
   }
   std::stringstream text;
   text << file.rdbuf();
+  return text.str();
+}
+
+/// Parses settings; prints each problem.
+std::optional<engine::Settings>
+ParseSettings(const std::string& aPath, const std::string& aText)
+{
   document::Problems problems;
-  std::optional<engine::Settings> settings = engine::ParseSettings(text.str(), problems);
+  std::optional<engine::Settings> settings = engine::ParseSettings(aText, problems);
   for (const document::Problem& problem : problems) {
     std::cerr << aPath << ": " << document::Describe(problem) << "\n";
   }
@@ -52,11 +58,20 @@
 }
 
 int
-Run(const engine::Settings& aSettings)
+Run(const engine::Settings& aSettings, const std::string& aPath, std::string aText)
 {
+  auto readChanged = [aPath, last = std::move(aText)]() mutable -> std::optional<engine::Settings> {
+    std::optional<std::string> text = ReadFile(aPath);
+    if (!text || *text == last) {
+      return std::nullopt;
+    }
+    last = *text;
+    return ParseSettings(aPath, last);
+  };
   engine::Instance instance({ .settings = aSettings,
                               .wire = adapter::MakeWireCodec(),
-                              .store = adapter::MakeStoreCodec() });
+                              .store = adapter::MakeStoreCodec(),
+                              .readChangedSettings = readChanged });
   if (std::error_code error = instance.Start()) {
     telemetry::Log(telemetry::Event::CannotStart,
                    { { "listen", aSettings.callerAddress }, { "why", error.message() } });
@@ -82,7 +97,12 @@
     std::cerr << "sapphirewind: --settings FILE is needed; see --help\n";
     return kExitUsage;
   }
-  std::optional<engine::Settings> settings = ReadSettings(path);
+  std::optional<std::string> text = ReadFile(path);
+  if (!text) {
+    std::cerr << "sapphirewind: cannot read " << path << "\n";
+    return kExitUsage;
+  }
+  std::optional<engine::Settings> settings = ParseSettings(path, *text);
   if (!settings) {
     return kExitUsage;
   }
@@ -96,5 +116,5 @@
                            .file = "-",
                            .linesPerSecond = static_cast<unsigned>(FLAGS_log_lines),
                            .neverBlock = true });
-  return Run(*settings);
+  return Run(*settings, path, *text);
 }
--- a/test/engine/StoreTest.cpp
+++ b/test/engine/StoreTest.cpp
@@ -1,6 +1,7 @@
 #include "EngineStage.h"
 
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 
 using namespace sapphirewind;
 using namespace sapphirewind::test;
@@ -150,6 +151,20 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_settings_change)
+
+BOOST_AUTO_TEST_CASE(takes_over_limits_and_goes_on_serving)
+{
+  this->StartInstance();
+  BOOST_REQUIRE(this->AwaitReady());
+  this->ChangeSettings([](engine::Settings& aSettings) { aSettings.stopWithin = 3s; });
+  std::raise(SIGHUP);
+  BOOST_TEST(Await([this] { return this->SettingsWereRead(); }));
+  BOOST_TEST(IsServed(*this, "/q/1", "after"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(that_is_asked_to_stop)
 
 BOOST_AUTO_TEST_CASE(tells_the_balancer_serves_what_comes_and_ends)
--- a/test/soak/Fleet.h
+++ b/test/soak/Fleet.h
@@ -59,6 +59,7 @@
   int RunsOf(const std::string& aId) const;
 
   static constexpr size_t kShards = 4;
+  static constexpr double kLeastCoverage = 0.5;
 
   fakes::StandInLoop loop;
   fakes::ObjectStore store;
