--- a/libs/engine/include/engine/UpstreamServer.h
+++ b/libs/engine/include/engine/UpstreamServer.h
@@ -66,12 +66,13 @@
   dispatch::Upstream& State() { return this->state; }
   const dispatch::Upstream& State() const { return this->state; }
 
-  /// What may be sent on: any kept connection, or only one that was in use just now, for a request
-  /// that cannot be repeated if the server closes a kept connection under it.
+  /// What may be sent on: a kept connection, or only a new one, for a request that cannot be
+  /// repeated. A connection that was just made proves that the server is there, while a kept one
+  /// may have fallen silent or be about to be closed.
   enum class Reuse
   {
-    AnyConnection,
-    RecentConnection
+    KeptConnection,
+    NewConnection
   };
 
   /// Sends a request. The end is told later, never from within the call.
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -158,7 +158,7 @@
     this->MakeRequest(*aServer, aNow),
     incoming.meta.id,
     this->work,
-    repeatable ? UpstreamServer::Reuse::AnyConnection : UpstreamServer::Reuse::RecentConnection,
+    repeatable ? UpstreamServer::Reuse::KeptConnection : UpstreamServer::Reuse::NewConnection,
     [self, slot](ExchangeResult&& aResult) {
       if (auto ended = slot->lock()) {
         self->OnEnd(ended, std::move(aResult));
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -11,8 +11,6 @@
 /// A server in another region that does not answer at all is given up after this; the longest
 /// round trip of a user's deployment is a fifth of it.
 constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(250);
-/// A kept connection in use this recently is unlikely to be closed by the server meanwhile.
-constexpr base::Duration kRecentUse = std::chrono::seconds(1);
 /// Connections beyond those that are kept close when unused for this long: past the gaps of steady
 /// traffic, and soon, as the server may need the room.
 constexpr base::Duration kSurplusIdle = std::chrono::milliseconds(1500);
@@ -152,17 +150,12 @@
 std::shared_ptr<UpstreamConnection>
 UpstreamServer::TakeConnection(Reuse aReuse, base::Instant aNow)
 {
-  while (!this->idle.empty()) {
+  while (aReuse == Reuse::KeptConnection && !this->idle.empty()) {
     std::shared_ptr<UpstreamConnection> connection = this->idle.back();
-    bool usable = aNow < connection->UsableUntil();
-    bool recent = aNow - connection->IdleSince() < kRecentUse;
-    if (usable && (aReuse == Reuse::AnyConnection || recent)) {
+    if (aNow < connection->UsableUntil()) {
       this->idle.pop_back();
       return connection;
     }
-    if (usable) {
-      break;
-    }
     connection->Close("kept long enough");
   }
   return this->OpenConnection();
