--- a/libs/dispatch/src/ConnectionShare.cpp
+++ b/libs/dispatch/src/ConnectionShare.cpp
@@ -32,9 +32,9 @@
   double share = used * static_cast<double>(aInput.limit) * part / sharers;
   ConnectionShare result;
   result.inUse = static_cast<unsigned>(std::max(1.0, std::round(share)));
-  // Where not even one connection is due, none is held beyond its use.
-  constexpr double kWholeConnection = 1.0;
-  result.kept = share >= kWholeConnection ? 1 : 0;
+  // Each instance keeps one only where all of these fit.
+  bool allFit = static_cast<double>(instances) <= used * static_cast<double>(aInput.limit);
+  result.kept = allFit ? 1 : 0;
   return result;
 }
 
--- a/libs/dispatch/test/ConnectionShareTest.cpp
+++ b/libs/dispatch/test/ConnectionShareTest.cpp
@@ -51,7 +51,7 @@
   BOOST_TEST(ShareConnections(near).inUse > ShareConnections(far).inUse);
 }
 
-BOOST_AUTO_TEST_CASE(is_at_least_one_and_kept_only_when_a_whole_one_is_due)
+BOOST_AUTO_TEST_CASE(is_at_least_one_and_kept_only_where_one_of_each_instance_fits)
 {
   ShareInput crowded{ .limit = 68, .instancesInRegion = 24, .instances = 73, .sameRegion = false };
   BOOST_TEST(ShareConnections(crowded).inUse == 1U);
