--- a/libs/dispatch/include/dispatch/Upstream.h
+++ b/libs/dispatch/include/dispatch/Upstream.h
@@ -41,10 +41,6 @@
   /// Connections that this instance may hold there.
   unsigned maxInFlight = 1;
   bool draining = false;
-  /// Open connections that carry no request.
-  unsigned idleConnections = 0;
-  /// Until when no new connection is made, because the server reset one: it holds too many.
-  base::Instant noNewConnectionsUntil{};
   /// How its service time compares with the usual; above 1 is slower.
   double slowness = 1.0;
   base::Instant slownessAt{};
@@ -88,18 +84,9 @@
 base::Duration
 ExpectedLatency(const Upstream& aUpstream, const WorkEstimate& aWork, base::Instant aNow);
 
-/// How long no new connection is made to a server that reset one unanswered. Connections that it
-/// has carry on; room comes back as it closes those of instances that are gone.
-constexpr base::Duration kConnectionBackoff = std::chrono::milliseconds(500);
-
-/// Whether a new connection may be made there now.
-bool
-MayConnect(const Upstream& aUpstream, base::Instant aNow);
-
-/// Whether a request may be sent there: it is not leaving, this instance has a connection left, and
-/// one is open or may be made.
+/// Whether a request may be sent there: it is not leaving and this instance has a connection left.
 bool
-HasRoom(const Upstream& aUpstream, base::Instant aNow);
+HasRoom(const Upstream& aUpstream);
 
 bool
 IsEjected(const Upstream& aUpstream, base::Instant aNow);
@@ -133,11 +120,6 @@
 void
 OnFailed(Upstream& aUpstream, uint64_t aRequest, base::Instant aNow);
 
-/// The server reset a new connection without an answer: it holds more than it accepts, which says
-/// nothing of its health.
-void
-OnConnectionRefused(Upstream& aUpstream, uint64_t aRequest, base::Instant aNow);
-
 void
 OnLoadReport(Upstream& aUpstream, const LoadReport& aReport, base::Instant aNow);
 
--- a/libs/dispatch/src/Upstream.cpp
+++ b/libs/dispatch/src/Upstream.cpp
@@ -131,17 +131,9 @@
 }
 
 bool
-MayConnect(const Upstream& aUpstream, base::Instant aNow)
+HasRoom(const Upstream& aUpstream)
 {
-  return aNow >= aUpstream.noNewConnectionsUntil;
-}
-
-bool
-HasRoom(const Upstream& aUpstream, base::Instant aNow)
-{
-  bool hasShare = aUpstream.outstanding.size() < aUpstream.maxInFlight;
-  bool hasConnection = aUpstream.idleConnections > 0 || MayConnect(aUpstream, aNow);
-  return !aUpstream.draining && hasShare && hasConnection;
+  return !aUpstream.draining && aUpstream.outstanding.size() < aUpstream.maxInFlight;
 }
 
 bool
@@ -163,7 +155,7 @@
   for (size_t index = 0; index < aUpstreams.size(); ++index) {
     const Upstream& upstream = *aUpstreams[index];
     bool tried = std::find(aTried.begin(), aTried.end(), index) != aTried.end();
-    if (tried || !HasRoom(upstream, aNow)) {
+    if (tried || !HasRoom(upstream)) {
       continue;
     }
     bool ejected = IsEjected(upstream, aNow);
@@ -243,13 +235,6 @@
   aUpstream.ejectedUntil = aNow + ejection;
 }
 
-void
-OnConnectionRefused(Upstream& aUpstream, uint64_t aRequest, base::Instant aNow)
-{
-  Take(aUpstream, aRequest);
-  aUpstream.noNewConnectionsUntil = aNow + kConnectionBackoff;
-}
-
 void
 OnLoadReport(Upstream& aUpstream, const LoadReport& aReport, base::Instant aNow)
 {
--- a/libs/dispatch/test/UpstreamTest.cpp
+++ b/libs/dispatch/test/UpstreamTest.cpp
@@ -151,31 +151,6 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_AUTO_TEST_SUITE(when_the_near_one_resets_a_new_connection)
-
-BOOST_AUTO_TEST_CASE(makes_no_other_for_a_while_and_does_not_take_it_for_ill)
-{
-  Service service;
-  for (uint64_t request = 1; request <= 3; ++request) {
-    OnSent(service.near, request, 16ms, kStart);
-    OnConnectionRefused(service.near, request, kStart);
-  }
-  BOOST_TEST(!IsEjected(service.near, kStart));
-  BOOST_TEST(!service.ChoosesNear(kStart));
-  BOOST_TEST(service.ChoosesNear(kStart + kConnectionBackoff));
-}
-
-BOOST_AUTO_TEST_CASE(goes_on_over_those_that_are_open)
-{
-  Service service;
-  OnSent(service.near, 1, 16ms, kStart);
-  OnConnectionRefused(service.near, 1, kStart);
-  service.near.idleConnections = 1;
-  BOOST_TEST(service.ChoosesNear(kStart));
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
 BOOST_AUTO_TEST_CASE(believes_a_reported_queue_for_a_short_time)
 {
   Service service;
--- a/libs/engine/include/engine/UpstreamConnection.h
+++ b/libs/engine/include/engine/UpstreamConnection.h
@@ -17,8 +17,6 @@
   AnswerMeta meta;
   /// The address is another server's.
   bool misdirected = false;
-  /// A new connection was reset before its first answer began.
-  bool connectionRefused = false;
   /// What went wrong, for the log.
   const char* cause = "";
 };
@@ -90,8 +88,6 @@
   /// Some bytes of the request may have left.
   bool sending = false;
   size_t strayAnswers = 0;
-  /// An answer came on this connection before.
-  bool hasServed = false;
   base::Instant idleSince{};
   base::Instant usableUntil{};
 };
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -104,11 +104,6 @@
 bool
 ServiceCall::IsExcluded(const UpstreamServer& aServer, base::Instant aNow) const
 {
-  bool needsNew =
-    this->options.request->route->repeatability != directory::Repeatability::Idempotent;
-  if (needsNew && !dispatch::MayConnect(aServer.State(), aNow)) {
-    return true;
-  }
   auto tried = std::find_if(this->tries.begin(), this->tries.end(), [&](const Try& aTry) {
     return aTry.server.get() == &aServer;
   });
--- a/libs/engine/src/UpstreamConnection.cpp
+++ b/libs/engine/src/UpstreamConnection.cpp
@@ -236,7 +236,6 @@
 UpstreamConnection::BecomeIdle()
 {
   this->state = State::Idle;
-  this->hasServed = true;
   this->idleSince = base::Now();
   this->request.reset();
   this->options.onIdle(this->shared_from_this());
@@ -264,10 +263,8 @@
   ErrorCode ignored; // The connection is of no use either way.
   this->socket.close(ignored);
   this->options.onClosed(self);
-  bool unanswered = this->parser && !this->parser->got_some();
   this->Finish(ExchangeResult{ .end = this->sending ? dispatch::AttemptEnd::Lost
                                                     : dispatch::AttemptEnd::NotConnected,
-                               .connectionRefused = this->sending && !this->hasServed && unanswered,
                                .cause = aCause });
 }
 
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -100,14 +100,9 @@
     case dispatch::AttemptEnd::NotExecuted:
       dispatch::OnRefused(state, this->number, now);
       break;
-    case dispatch::AttemptEnd::Lost:
-      if (aResult.connectionRefused) {
-        dispatch::OnConnectionRefused(state, this->number, now);
-        break;
-      }
-      [[fallthrough]];
     case dispatch::AttemptEnd::ServerError:
     case dispatch::AttemptEnd::NotConnected:
+    case dispatch::AttemptEnd::Lost:
     case dispatch::AttemptEnd::Unusable:
       dispatch::OnFailed(state, this->number, now);
       break;
@@ -159,7 +154,6 @@
     std::shared_ptr<UpstreamConnection> connection = this->idle.back();
     if (aNow < connection->UsableUntil()) {
       this->idle.pop_back();
-      this->state.idleConnections = static_cast<unsigned>(this->idle.size());
       return connection;
     }
     connection->Close("kept long enough");
@@ -171,34 +165,32 @@
 UpstreamServer::OpenConnection()
 {
   std::weak_ptr<UpstreamServer> weak = this->weak_from_this();
-  return std::make_shared<UpstreamConnection>(UpstreamConnection::Options{
-    .loop = this->options.loop,
-    .codec = this->options.codec,
-    .endpoint = this->options.endpoint,
-    .connectTimeout = kConnectTimeout,
-    .onIdle =
-      [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
-        auto self = weak.lock();
-        if (!self || self->state.draining) {
-          aConnection->Close("the server is leaving");
-          return;
-        }
-        self->idle.push_back(aConnection);
-        self->state.idleConnections = static_cast<unsigned>(self->idle.size());
-      },
-    .onClosed =
-      [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
-        if (auto self = weak.lock()) {
-          std::erase(self->idle, aConnection);
-          self->state.idleConnections = static_cast<unsigned>(self->idle.size());
-        }
-      },
-    .onConnected =
-      [weak](base::Duration aTook) {
-        if (auto self = weak.lock()) {
-          self->NoteRoundTrip(aTook);
-        }
-      } });
+  return std::make_shared<UpstreamConnection>(
+    UpstreamConnection::Options{ .loop = this->options.loop,
+                                 .codec = this->options.codec,
+                                 .endpoint = this->options.endpoint,
+                                 .connectTimeout = kConnectTimeout,
+                                 .onIdle =
+                                   [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
+                                     auto self = weak.lock();
+                                     if (!self || self->state.draining) {
+                                       aConnection->Close("the server is leaving");
+                                       return;
+                                     }
+                                     self->idle.push_back(aConnection);
+                                   },
+                                 .onClosed =
+                                   [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
+                                     if (auto self = weak.lock()) {
+                                       std::erase(self->idle, aConnection);
+                                     }
+                                   },
+                                 .onConnected =
+                                   [weak](base::Duration aTook) {
+                                     if (auto self = weak.lock()) {
+                                       self->NoteRoundTrip(aTook);
+                                     }
+                                   } });
 }
 
 void
