Let three tests of cancelling, repeating and mirroring fail when they should

Cause: the stand-in of a server did not see that its connection was closed while it worked, and the request of the test ended by its own timeout after 2 s, so is_cancelled_at_the_server_when_its_caller_leaves passed with the cancellation taken out. The test of repeating did not ask whether a second server ran the request, and those of the mirror not whether a mirror was used.

Now the stand-in watches its connection and counts what is abandoned; the request and the server's work outlast the test's patience; the repeated request must have run twice; all but two of seven instances must have ceased to watch the store. Ruled out: a shorter wait in the first test, which would be a timed assertion.

Before: passed with ClientSession::Close not cancelling. After: fails so, passes with it.

--- a/fakes/include/fakes/HttpStandIn.h
+++ b/fakes/include/fakes/HttpStandIn.h
@@ -43,6 +43,8 @@
   Then then = Then::Keep;
   /// Bytes that follow the answer.
   std::string extra;
+  /// Bytes in place of the answer, if there are any.
+  std::string raw;
 };
 
 class HttpStandIn
@@ -51,9 +53,14 @@
   using Respond = std::function<void(StandInReply)>;
   /// Called on the loop's thread; may respond later.
   using Handler = std::function<void(const engine::HttpRequest&, Respond)>;
+  /// Called on the loop's thread when the other side closes the connection before its answer.
+  using OnAbandoned = std::function<void(const engine::HttpRequest&)>;
 
   /// Listens on loopback; port 0 takes a free one.
-  HttpStandIn(StandInLoop& aLoop, uint16_t aPort, Handler aHandler);
+  HttpStandIn(StandInLoop& aLoop,
+              uint16_t aPort,
+              Handler aHandler,
+              OnAbandoned aOnAbandoned = nullptr);
   ~HttpStandIn();
 
   uint16_t Port() const { return this->port; }
@@ -71,6 +78,7 @@
 
   StandInLoop& loop;
   Handler handler;
+  OnAbandoned onAbandoned;
   std::unique_ptr<engine::Tcp::acceptor> acceptor;
   std::set<std::shared_ptr<Session>> sessions;
   uint16_t port;
--- a/fakes/include/fakes/ObjectStore.h
+++ b/fakes/include/fakes/ObjectStore.h
@@ -35,6 +35,8 @@
   void SetPageSize(size_t aObjects);
 
   size_t Calls() const;
+  /// Watches of a kind that wait at this moment.
+  size_t Watching(const std::string& aKind) const;
   size_t Count(const std::string& aKind) const;
 
 private:
--- a/fakes/include/fakes/SearchServer.h
+++ b/fakes/include/fakes/SearchServer.h
@@ -52,6 +52,8 @@
 
   /// How often each request ran here.
   std::map<std::string, int> Runs() const;
+  /// How often the caller of a request closed its connection while it ran.
+  int Abandoned(const std::string& aId) const;
   size_t Arrivals() const;
 
   /// The records that a server of a service holds for a path: all servers of one hold the same.
@@ -67,6 +69,7 @@
   ServerBehaviour behaviour;
   base::Random random;
   std::map<std::string, int> runs;
+  std::map<std::string, int> abandoned;
   size_t arrivals = 0;
   HttpStandIn server;
 };
--- a/fakes/src/HttpStandIn.cpp
+++ b/fakes/src/HttpStandIn.cpp
@@ -58,6 +58,8 @@
                          self->Close();
                          return;
                        }
+                       self->working = true;
+                       self->WatchForClose();
                        self->owner->handler(self->request, [self](StandInReply aReply) {
                          self->Reply(std::move(aReply));
                        });
@@ -75,6 +77,31 @@
   }
 
 private:
+  /// Notices that the other side closes the connection while its request is worked on.
+  void WatchForClose()
+  {
+    this->socket.async_wait(engine::Tcp::socket::wait_read,
+                            [self = this->shared_from_this()](ErrorCode aError) {
+                              if (aError || self->owner == nullptr || !self->working) {
+                                return;
+                              }
+                              ErrorCode error;
+                              bool hasBytes = self->socket.available(error) > 0;
+                              if (hasBytes && !error) {
+                                return;
+                              }
+                              self->Abandon();
+                            });
+  }
+
+  void Abandon()
+  {
+    if (this->owner->onAbandoned) {
+      this->owner->onAbandoned(this->request);
+    }
+    this->Close();
+  }
+
   void Reply(StandInReply aReply)
   {
     this->timer.expires_after(aReply.delay);
@@ -91,6 +118,7 @@
     if (aReply.then == StandInReply::Then::Silence) {
       return;
     }
+    this->working = false;
     if (aReply.then == StandInReply::Then::Reset) {
       ErrorCode ignored;
       this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -102,7 +130,7 @@
     aReply.response.prepare_payload();
     std::ostringstream text;
     text << aReply.response;
-    std::string bytes = text.str() + aReply.extra;
+    std::string bytes = aReply.raw.empty() ? text.str() + aReply.extra : aReply.raw;
     if (aReply.then == StandInReply::Then::Truncate) {
       bytes.resize(bytes.size() - aReply.response.body().size() / 2 - 1);
     }
@@ -123,11 +151,17 @@
   engine::Timer timer;
   boost::beast::flat_buffer buffer;
   engine::HttpRequest request;
+  /// A request is read and not answered.
+  bool working = false;
 };
 
-HttpStandIn::HttpStandIn(StandInLoop& aLoop, uint16_t aPort, Handler aHandler)
+HttpStandIn::HttpStandIn(StandInLoop& aLoop,
+                         uint16_t aPort,
+                         Handler aHandler,
+                         OnAbandoned aOnAbandoned)
   : loop(aLoop)
   , handler(std::move(aHandler))
+  , onAbandoned(std::move(aOnAbandoned))
   , port(aPort)
 {
   this->loop.Run([this] { this->Listen(); });
--- a/fakes/src/ObjectStore.cpp
+++ b/fakes/src/ObjectStore.cpp
@@ -1,5 +1,6 @@
 #include <fakes/ObjectStore.h>
 
+#include <algorithm>
 #include <document/Document.h>
 #include <optional>
 
@@ -91,6 +92,16 @@
   return this->calls;
 }
 
+size_t
+ObjectStore::Watching(const std::string& aKind) const
+{
+  std::lock_guard guard(this->lock);
+  return static_cast<size_t>(
+    std::count_if(this->watchers.begin(), this->watchers.end(), [&](const auto& aWatcher) {
+      return aWatcher.second.kind == aKind;
+    }));
+}
+
 size_t
 ObjectStore::Count(const std::string& aKind) const
 {
--- a/fakes/src/SearchServer.cpp
+++ b/fakes/src/SearchServer.cpp
@@ -17,11 +17,16 @@
 SearchServer::SearchServer(Options aOptions)
   : options(std::move(aOptions))
   , random(this->options.seed)
-  , server(this->options.loop,
-           this->options.port,
-           [this](const engine::HttpRequest& aRequest, const HttpStandIn::Respond& aRespond) {
-             this->Handle(aRequest, aRespond);
-           })
+  , server(
+      this->options.loop,
+      this->options.port,
+      [this](const engine::HttpRequest& aRequest, const HttpStandIn::Respond& aRespond) {
+        this->Handle(aRequest, aRespond);
+      },
+      [this](const engine::HttpRequest& aRequest) {
+        std::lock_guard guard(this->lock);
+        ++this->abandoned[std::string(aRequest[kRequestId])];
+      })
 {
 }
 
@@ -76,6 +81,14 @@
   return this->runs;
 }
 
+int
+SearchServer::Abandoned(const std::string& aId) const
+{
+  std::lock_guard guard(this->lock);
+  auto found = this->abandoned.find(aId);
+  return found == this->abandoned.end() ? 0 : found->second;
+}
+
 size_t
 SearchServer::Arrivals() const
 {
--- a/test/engine/MirrorTest.cpp
+++ b/test/engine/MirrorTest.cpp
@@ -36,6 +36,21 @@
       this->Start("instance-" + std::to_string(index));
     }
     BOOST_REQUIRE(Await([this] { return this->AllServe("/p/1"); }));
+    BOOST_REQUIRE(Await([this] { return this->OnlyMirrorsWatch(); }));
+  }
+
+  /// Whether no more than the mirrors wait at the store, for long enough that each other instance
+  /// would have asked it again.
+  bool OnlyMirrorsWatch()
+  {
+    auto until = std::chrono::steady_clock::now() + this->SettingsOf("").watchWait;
+    while (std::chrono::steady_clock::now() < until) {
+      if (this->store.Watching("config") > kMirrors) {
+        return false;
+      }
+      std::this_thread::sleep_for(20ms);
+    }
+    return true;
   }
 
   void Start(const std::string& aName)
@@ -66,6 +81,7 @@
   }
 
   static constexpr size_t kInstances = 7;
+  static constexpr size_t kMirrors = 2;
   std::vector<std::unique_ptr<RunningInstance>> instances;
 };
 
--- a/test/engine/WholePathTest.cpp
+++ b/test/engine/WholePathTest.cpp
@@ -19,6 +19,26 @@
     this->StartInstance();
     BOOST_REQUIRE(this->AwaitReady());
   }
+
+  /// Whether the instance serves a version, seen on a route that exists only from it on.
+  bool ServesMarkedVersion()
+  {
+    auto answer = this->Connect().Exchange({ .target = "/marked/1", .id = "mark" });
+    return answer && answer->result_int() == 200U;
+  }
+
+  /// Puts a version with a marked route into force.
+  void BringIntoForce(uint64_t aVersion, const std::function<void(Json::Value&)>& aChange)
+  {
+    this->Configure(aVersion, [&](Json::Value& aRoot) {
+      aChange(aRoot);
+      Json::Value marked = aRoot["routes"][1];
+      marked["name"] = "marked";
+      marked["path_prefix"] = "/marked/";
+      aRoot["routes"].append(marked);
+    });
+    BOOST_REQUIRE(Await([this] { return this->ServesMarkedVersion(); }));
+  }
 };
 
 /// The records that a whole answer to a query must hold.
@@ -156,11 +176,16 @@
 BOOST_AUTO_TEST_CASE(is_sent_again_after_a_lost_answer_if_it_may_be_repeated)
 {
   this->ServerOf("p", 0).SetBehaviour({ .loseAnswer = 1.0 });
-  for (int request = 0; request < 4; ++request) {
-    auto answer = this->Connect().Exchange({ .target = "/p/1", .id = std::to_string(request) });
+  // Servers are chosen by expected latency, so a few requests go by until one meets this server.
+  int request = 0;
+  auto ranTwice = [&] {
+    std::string id = "again-" + std::to_string(request++);
+    auto answer = this->Connect().Exchange({ .target = "/p/1", .id = id });
     BOOST_REQUIRE(answer.has_value());
     BOOST_TEST(answer->result_int() == 200U);
-  }
+    return this->RunsOf(id) == 2;
+  };
+  BOOST_TEST(Await(ranTwice));
 }
 
 BOOST_AUTO_TEST_SUITE(that_may_run_once)
@@ -217,16 +242,20 @@
 
 BOOST_AUTO_TEST_CASE(is_cancelled_at_the_server_when_its_caller_leaves)
 {
+  this->BringIntoForce(2, [](Json::Value& aRoot) { aRoot["routes"][1]["timeout_ms"] = 600'000; });
+  // Neither the servers nor the request's own end come before the test gives up.
   for (const auto& server : this->servers) {
-    server->SetBehaviour({ .work = 10s });
+    server->SetBehaviour({ .work = 10 * Caller::kPatience });
   }
   Caller caller = this->Connect();
-  caller.Send(Bytes({ .target = "/p/1", .id = "leaver" }));
-  BOOST_TEST(Await([this] { return this->RunsOf("leaver") == 1; }));
+  caller.Send(Bytes({ .target = "/p/1", .id = "leaver", .deadlineMs = 600'000 }));
+  BOOST_TEST(Await([this] { return this->RunsOf("leaver") >= 1; }));
   caller.Close();
-  // Whoever comes next finds the instance serving, and nothing was sent a second time.
-  std::this_thread::sleep_for(100ms);
-  BOOST_TEST(this->RunsOf("leaver") == 1);
+  auto abandoned = [this] {
+    return this->ServerOf("p", 0).Abandoned("leaver") + this->ServerOf("p", 1).Abandoned("leaver");
+  };
+  BOOST_TEST(Await([&] { return abandoned() == this->RunsOf("leaver"); }));
+  BOOST_TEST(this->RunsOf("leaver") >= 1);
 }
 
 BOOST_AUTO_TEST_CASE(is_not_sent_where_another_server_took_the_address)
