Refuse requests that crash servers, at all instances

Now a request that ends unanswered asks whether the servers that broke off are still there (a connection that is refused); if one is not, the request is suspect here and at all live instances, which are told at once. A suspect request goes to one server, a suspect query to one shard first; a second server lost under it, and it is refused for ten minutes as not run. An answer clears it.

The stand-in of a server that is down refuses connections now as an ended process does. That showed that instances started by the soak inherited the stand-ins' sockets, which kept ports and connections open: mended in Fleet.

--- a/fakes/include/fakes/HttpStandIn.h
+++ b/fakes/include/fakes/HttpStandIn.h
@@ -66,13 +66,15 @@
   uint16_t Port() const { return this->port; }
   std::string Address() const { return "127.0.0.1:" + std::to_string(this->port); }
 
-  /// Resets all connections, new ones at once, or serves again. Loop's thread.
+  /// Resets all connections and refuses new ones as a process does that ended, or serves again.
+  /// Loop's thread.
   void SetDown(bool aDown);
 
 private:
   class Session;
 
   void Listen();
+  void HoldPort();
   void Accept();
   void ResetSessions();
 
@@ -80,6 +82,8 @@
   Handler handler;
   OnAbandoned onAbandoned;
   std::unique_ptr<engine::Tcp::acceptor> acceptor;
+  /// Keeps the port from others, without listening, while the server is down.
+  std::unique_ptr<engine::Tcp::acceptor> holder;
   std::set<std::shared_ptr<Session>> sessions;
   uint16_t port;
   bool down = false;
--- a/fakes/include/fakes/SearchServer.h
+++ b/fakes/include/fakes/SearchServer.h
@@ -20,6 +20,8 @@
   double extraAnswer = 0.0; ///< Sends a second answer after the first.
   double fail = 0.0;        ///< Runs it and answers 500.
   bool silent = false;      ///< Takes requests and never answers.
+  /// Ends, with all its connections, under requests with this target; empty for none.
+  std::string crashTarget;
 };
 
 class SearchServer
@@ -55,6 +57,8 @@
   /// How often the caller of a request closed its connection while it ran.
   int Abandoned(const std::string& aId) const;
   size_t Arrivals() const;
+  /// How often a request ended it.
+  int Crashes() const;
 
   /// The records that a server of a service holds for a path: all servers of one hold the same.
   static std::string RecordsOf(const std::string& aService, const std::string& aTarget);
@@ -63,6 +67,7 @@
   void Handle(const engine::HttpRequest& aRequest, const HttpStandIn::Respond& aRespond);
   StandInReply Run(const engine::HttpRequest& aRequest, const std::string& aId);
   bool Happens(double aShare);
+  bool CrashesUnder(const engine::HttpRequest& aRequest) const;
 
   Options options;
   mutable std::mutex lock;
@@ -71,6 +76,7 @@
   std::map<std::string, int> runs;
   std::map<std::string, int> abandoned;
   size_t arrivals = 0;
+  int crashes = 0;
   HttpStandIn server;
 };
 
--- a/fakes/src/HttpStandIn.cpp
+++ b/fakes/src/HttpStandIn.cpp
@@ -171,6 +171,7 @@
 {
   this->loop.Run([this] {
     this->acceptor.reset();
+    this->holder.reset();
     this->ResetSessions();
   });
 }
@@ -187,12 +188,29 @@
 void
 HttpStandIn::SetDown(bool aDown)
 {
+  if (aDown == this->down) {
+    return;
+  }
   this->down = aDown;
   if (aDown) {
+    this->HoldPort();
     this->ResetSessions();
+  } else {
+    this->holder.reset();
+    this->Listen();
   }
 }
 
+void
+HttpStandIn::HoldPort()
+{
+  engine::Tcp::endpoint endpoint = this->acceptor->local_endpoint();
+  this->acceptor.reset();
+  this->holder = std::make_unique<engine::Tcp::acceptor>(this->loop.Get(), endpoint.protocol());
+  this->holder->set_option(engine::Tcp::acceptor::reuse_address(true));
+  this->holder->bind(endpoint);
+}
+
 void
 HttpStandIn::ResetSessions()
 {
@@ -209,14 +227,6 @@
     if (aError) {
       return;
     }
-    // The port stays taken while the server is down, so that nobody else gets it.
-    if (this->down) {
-      ErrorCode ignored;
-      aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
-      aSocket.close(ignored);
-      this->Accept();
-      return;
-    }
     auto session = std::make_shared<Session>(*this, std::move(aSocket));
     this->sessions.insert(session);
     session->Read();
--- a/fakes/src/SearchServer.cpp
+++ b/fakes/src/SearchServer.cpp
@@ -89,6 +89,19 @@
   return found == this->abandoned.end() ? 0 : found->second;
 }
 
+int
+SearchServer::Crashes() const
+{
+  std::lock_guard guard(this->lock);
+  return this->crashes;
+}
+
+bool
+SearchServer::CrashesUnder(const engine::HttpRequest& aRequest) const
+{
+  return !this->behaviour.crashTarget.empty() && aRequest.target() == this->behaviour.crashTarget;
+}
+
 size_t
 SearchServer::Arrivals() const
 {
@@ -119,6 +132,12 @@
     aRespond(reply);
     return;
   }
+  if (this->CrashesUnder(aRequest)) {
+    ++this->runs[id];
+    ++this->crashes;
+    this->server.SetDown(true);
+    return;
+  }
   aRespond(this->Run(aRequest, id));
 }
 
--- a/libs/directory/include/directory/Census.h
+++ b/libs/directory/include/directory/Census.h
@@ -55,6 +55,10 @@
 size_t
 CountLive(const Census& aCensus, base::Instant aNow);
 
+/// All live instances.
+std::vector<InstanceEntry>
+ListLive(const Census& aCensus, base::Instant aNow);
+
 /// Live instances by region.
 std::map<std::string, size_t>
 CountByRegion(const Census& aCensus, base::Instant aNow);
--- a/libs/directory/src/Census.cpp
+++ b/libs/directory/src/Census.cpp
@@ -35,21 +35,28 @@
 size_t
 CountLive(const Census& aCensus, base::Instant aNow)
 {
-  return static_cast<size_t>(
-    std::count_if(aCensus.sightings.begin(), aCensus.sightings.end(), [&](const auto& aEntry) {
-      return IsLive(aCensus, aEntry.second, aNow);
-    }));
+  return ListLive(aCensus, aNow).size();
 }
 
-std::map<std::string, size_t>
-CountByRegion(const Census& aCensus, base::Instant aNow)
+std::vector<InstanceEntry>
+ListLive(const Census& aCensus, base::Instant aNow)
 {
-  std::map<std::string, size_t> counts;
+  std::vector<InstanceEntry> live;
   for (const auto& [name, sighting] : aCensus.sightings) {
     if (IsLive(aCensus, sighting, aNow)) {
-      ++counts[sighting.entry.region];
+      live.push_back(sighting.entry);
     }
   }
+  return live;
+}
+
+std::map<std::string, size_t>
+CountByRegion(const Census& aCensus, base::Instant aNow)
+{
+  std::map<std::string, size_t> counts;
+  for (const InstanceEntry& entry : ListLive(aCensus, aNow)) {
+    ++counts[entry.region];
+  }
   return counts;
 }
 
@@ -57,10 +64,10 @@
 ChooseMirrors(const Census& aCensus, const std::string& aRegion, size_t aCount, base::Instant aNow)
 {
   std::vector<InstanceEntry> mirrors;
-  for (const auto& [name, sighting] : aCensus.sightings) {
-    bool reachable = sighting.entry.region == aRegion && !sighting.entry.address.empty();
-    if (reachable && IsLive(aCensus, sighting, aNow)) {
-      mirrors.push_back(sighting.entry);
+  for (const InstanceEntry& entry : ListLive(aCensus, aNow)) {
+    bool reachable = entry.region == aRegion && !entry.address.empty();
+    if (reachable) {
+      mirrors.push_back(entry);
     }
   }
   if (mirrors.size() <= kMostDirectFollowers) {
--- a/libs/engine/include/engine/ClientSession.h
+++ b/libs/engine/include/engine/ClientSession.h
@@ -59,6 +59,7 @@
   void StartRun(std::shared_ptr<const HttpRequest> aRequest,
                 std::shared_ptr<const directory::RouteTable> aRoutes,
                 const directory::Route& aRoute);
+  void RefuseCondemned(const IncomingRequest& aRequest);
   void Write(HttpResponse&& aResponse);
   void OnWritten();
   void Linger();
--- a/libs/engine/include/engine/ServiceCall.h
+++ b/libs/engine/include/engine/ServiceCall.h
@@ -4,6 +4,7 @@
 #include <base/Random.h>
 #include <directory/RouteTable.h>
 #include <dispatch/Outcome.h>
+#include <engine/CrashGuard.h>
 #include <engine/Fleet.h>
 #include <engine/Metrics.h>
 
@@ -17,6 +18,7 @@
   Fleet& fleet;
   base::Random& random;
   Metrics& metrics;
+  CrashGuard& crashGuard;
 };
 
 /// A caller's request while it is served.
@@ -31,6 +33,9 @@
   base::Instant objective{};
   std::shared_ptr<const directory::RouteTable> routes;
   const directory::Route* route = nullptr;
+  quarantine::Fingerprint fingerprint = 0;
+  /// Servers may have crashed under it: it goes to one at a time.
+  bool isSuspect = false;
 };
 
 class ServiceCall : public std::enable_shared_from_this<ServiceCall>
@@ -83,6 +88,8 @@
   const dispatch::AttemptHistory& History() const { return this->history; }
   const std::string& Service() const { return this->options.service; }
   unsigned Hedges() const { return this->hedges; }
+  /// Servers that broke the connection off while they had the request.
+  std::vector<std::shared_ptr<UpstreamServer>> LostAt() const;
   /// The servers that were asked and when, for the log: "service:server@12ms".
   std::string Describe() const;
 
@@ -104,7 +111,7 @@
   bool IsExcluded(const UpstreamServer& aServer, base::Instant aNow) const;
   std::shared_ptr<HttpRequest> MakeRequest(const UpstreamServer& aServer, base::Instant aNow) const;
   void OnEnd(const std::shared_ptr<Attempt>& aAttempt, ExchangeResult&& aResult);
-  void NoteRefused(const UpstreamServer& aServer);
+  void NoteEnd(const UpstreamServer& aServer, dispatch::AttemptEnd aEnd);
   void Settle(State aState);
 
   Options options;
@@ -118,6 +125,8 @@
     base::Instant at{};
     /// Set when the server said that it did not run the request, which lets it be asked again.
     std::optional<base::Instant> refusedAt;
+    /// The connection was broken off after the request was sent.
+    bool lost = false;
   };
   std::vector<Try> tries;
   size_t shortfall = 1;
--- a/libs/engine/include/engine/UpstreamServer.h
+++ b/libs/engine/include/engine/UpstreamServer.h
@@ -82,6 +82,10 @@
                                 Reuse aReuse,
                                 Attempt::OnEnd aOnEnd);
 
+  /// Finds out whether nothing listens at the server's address any more. A server that cannot be
+  /// reached at all is not told from one behind a cut and does not count as gone.
+  void Probe(std::function<void(bool aIsGone)> aOnResult);
+
   /// Sends nothing here any more and closes idle connections.
   void Retire();
 
--- a/libs/engine/src/ClientSession.cpp
+++ b/libs/engine/src/ClientSession.cpp
@@ -27,6 +27,8 @@
 constexpr int kConfigurationWaitPart = 4;
 /// When a caller is told to come back that waited in vain.
 constexpr base::Duration kRetryWithoutConfiguration = std::chrono::milliseconds(300);
+/// When a caller may come back with a request that crashed servers: not before it is forgotten.
+constexpr base::Duration kRetryCondemned = quarantine::kCondemnedTime;
 
 http::status
 StatusOf(ErrorCode aError)
@@ -261,6 +263,13 @@
   incoming->objective = this->requestStartedAt + aRoute.objective;
   incoming->routes = std::move(aRoutes);
   incoming->route = &aRoute;
+  incoming->fingerprint = FingerprintOf(*aRequest);
+  quarantine::Standing standing = context.crashGuard.StandingOf(incoming->fingerprint);
+  if (standing == quarantine::Standing::Condemned) {
+    this->RefuseCondemned(*incoming);
+    return;
+  }
+  incoming->isSuspect = standing == quarantine::Standing::Suspect;
   std::weak_ptr<ClientSession> weak = this->weak_from_this();
   this->run = engine::StartRun(context, incoming, [weak](HttpResponse&& aResponse) {
     if (auto self = weak.lock()) {
@@ -270,6 +279,18 @@
   });
 }
 
+void
+ClientSession::RefuseCondemned(const IncomingRequest& aRequest)
+{
+  this->host.Context().metrics.Count(Counter::RefusedNotRun);
+  telemetry::Log(telemetry::Event::RequestRejected,
+                 { { "request", aRequest.meta.id },
+                   { "status", "503" },
+                   { "why", "servers crashed under it" },
+                   { "fingerprint", base::ToHex(aRequest.fingerprint) } });
+  this->Write(MakeRefusal(dispatch::Refusal::NotRun, kRetryCondemned));
+}
+
 void
 ClientSession::Write(HttpResponse&& aResponse)
 {
--- /dev/null
+++ b/libs/engine/src/CrashGuard.cpp
@@ -0,0 +1,155 @@
+#include <engine/CrashGuard.h>
+
+#include <algorithm>
+#include <charconv>
+#include <document/Document.h>
+#include <telemetry/Events.h>
+
+namespace sapphirewind::engine {
+
+namespace {
+
+/// Servers that are asked after one request: one that is gone is enough to suspect it, and two
+/// bound what a lost request costs in connections.
+constexpr size_t kMostProbes = 2;
+
+constexpr const char* kSuspect = "suspect";
+constexpr const char* kCondemned = "condemned";
+
+std::optional<quarantine::Fingerprint>
+ParseFingerprint(const Json::Value& aValue)
+{
+  if (!aValue.isString()) {
+    return std::nullopt;
+  }
+  std::string text = aValue.asString();
+  quarantine::Fingerprint number = 0;
+  constexpr int kHexadecimal = 16;
+  auto parsed = std::from_chars(text.data(), text.data() + text.size(), number, kHexadecimal);
+  bool whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+void
+LogStanding(telemetry::Event aEvent,
+            const std::string& aRequestId,
+            quarantine::Fingerprint aFingerprint,
+            const std::string& aServer)
+{
+  telemetry::Log(aEvent,
+                 { { "request", aRequestId },
+                   { "fingerprint", base::ToHex(aFingerprint) },
+                   { "server", aServer } });
+}
+
+} // namespace
+
+quarantine::Fingerprint
+FingerprintOf(const HttpRequest& aRequest)
+{
+  auto method = aRequest.method_string();
+  auto host = aRequest[http::field::host];
+  uint64_t hash = base::Hash64({ method.data(), method.size() });
+  hash = base::HashMore(hash, { host.data(), host.size() });
+  hash = base::HashMore(hash, { aRequest.target().data(), aRequest.target().size() });
+  return base::HashMore(hash, aRequest.body());
+}
+
+CrashGuard::CrashGuard(Options aOptions)
+  : options(std::move(aOptions))
+{
+}
+
+quarantine::Standing
+CrashGuard::StandingOf(quarantine::Fingerprint aFingerprint) const
+{
+  return quarantine::StandingOf(this->requests, aFingerprint, base::Now());
+}
+
+void
+CrashGuard::OnAnswered(quarantine::Fingerprint aFingerprint, const std::string& aRequestId)
+{
+  if (this->requests.records.count(aFingerprint) == 0) {
+    return;
+  }
+  quarantine::OnAnswered(this->requests, aFingerprint);
+  LogStanding(telemetry::Event::RequestCleared, aRequestId, aFingerprint, "");
+}
+
+void
+CrashGuard::OnUnanswered(const Unanswered& aRequest)
+{
+  size_t probes = std::min(kMostProbes, aRequest.lostAt.size());
+  for (size_t index = 0; index < probes; ++index) {
+    const std::shared_ptr<UpstreamServer>& server = aRequest.lostAt[index];
+    server->Probe([this, aRequest, id = server->Description().id](bool aIsGone) {
+      if (aIsGone) {
+        this->OnServerGone(aRequest, id);
+      }
+    });
+  }
+}
+
+void
+CrashGuard::OnServerGone(const Unanswered& aRequest, const std::string& aServer)
+{
+  quarantine::Fingerprint fingerprint = aRequest.fingerprint;
+  quarantine::Standing before = this->StandingOf(fingerprint);
+  quarantine::Standing standing =
+    quarantine::OnServerLost(this->requests, fingerprint, aServer, aRequest.ranAlone, base::Now());
+  telemetry::Log(telemetry::Event::ServerLost,
+                 { { "request", aRequest.requestId }, { "server", aServer } });
+  if (standing == before) {
+    return;
+  }
+  bool condemned = standing == quarantine::Standing::Condemned;
+  LogStanding(condemned ? telemetry::Event::RequestCondemned : telemetry::Event::RequestSuspect,
+              aRequest.requestId,
+              fingerprint,
+              aServer);
+  this->Tell(fingerprint, standing, aServer);
+}
+
+void
+CrashGuard::Tell(quarantine::Fingerprint aFingerprint,
+                 quarantine::Standing aStanding,
+                 const std::string& aServer) const
+{
+  Json::Value message;
+  message["fingerprint"] = base::ToHex(aFingerprint);
+  message["standing"] = aStanding == quarantine::Standing::Condemned ? kCondemned : kSuspect;
+  message["server"] = aServer;
+  this->options.tellPeers(document::Write(message));
+}
+
+bool
+CrashGuard::OnPeerMessage(const std::string& aMessage)
+{
+  std::optional<Json::Value> message = document::ParseMessage(aMessage);
+  if (!message || !message->isObject()) {
+    return false;
+  }
+  std::optional<quarantine::Fingerprint> fingerprint = ParseFingerprint((*message)["fingerprint"]);
+  const Json::Value& standing = (*message)["standing"];
+  const Json::Value& server = (*message)["server"];
+  if (!fingerprint || !standing.isString() || !server.isString()) {
+    return false;
+  }
+  base::Instant now = base::Now();
+  if (standing.asString() == kCondemned) {
+    quarantine::OnPeerCondemned(this->requests, *fingerprint, quarantine::kCondemnedTime, now);
+    LogStanding(telemetry::Event::RequestCondemned, "", *fingerprint, server.asString());
+  } else {
+    quarantine::OnPeerSuspect(this->requests, *fingerprint, server.asString(), now);
+    LogStanding(telemetry::Event::RequestSuspect, "", *fingerprint, server.asString());
+  }
+  return true;
+}
+
+void
+CrashGuard::KeepHouse(base::Instant aNow)
+{
+  quarantine::Expire(this->requests, aNow);
+}
+
+} // namespace sapphirewind::engine
--- a/libs/engine/src/GatherRun.cpp
+++ b/libs/engine/src/GatherRun.cpp
@@ -21,12 +21,22 @@
                               }
                             } }));
   }
-  for (const auto& call : this->calls) {
-    call->Start(now);
-  }
+  this->StartCalls(now);
   this->WakeNow();
 }
 
+void
+GatherRun::StartCalls(base::Instant aNow)
+{
+  bool mayStartAll =
+    !this->request->isSuspect ||
+    (this->started > 0 && this->calls.front()->CurrentState() == ServiceCall::State::Answered);
+  size_t until = mayStartAll ? this->calls.size() : 1;
+  for (; this->started < until; ++this->started) {
+    this->calls[this->started]->Start(aNow);
+  }
+}
+
 base::Instant
 GatherRun::AnswerBy() const
 {
@@ -86,15 +96,18 @@
 GatherRun::Evaluate()
 {
   base::Instant now = base::Now();
+  this->StartCalls(now);
   this->AdvanceCalls(now);
   bool timeIsOver = now >= this->LastMoment();
   dispatch::GatherStep step = dispatch::NextGatherStep(this->StateNow(), this->AnswerBy(), now);
   if (step == dispatch::GatherStep::Answer) {
-    this->Answer();
+    this->MergeAndAnswer();
     return;
   }
   bool foundNoRoom = now >= this->RefuseBy() && this->NothingSent();
-  if (step == dispatch::GatherStep::GiveUp || timeIsOver || foundNoRoom) {
+  bool crashedAgain = this->started < this->calls.size() &&
+                      this->calls.front()->CurrentState() == ServiceCall::State::Failed;
+  if (crashedAgain || step == dispatch::GatherStep::GiveUp || timeIsOver || foundNoRoom) {
     this->Refuse(this->TrueRefusal(timeIsOver), this->Detail());
     return;
   }
@@ -123,7 +136,7 @@
 }
 
 void
-GatherRun::Answer()
+GatherRun::MergeAndAnswer()
 {
   CoverageMeta coverage;
   std::vector<std::string_view> parts;
@@ -140,7 +153,7 @@
   response.body() = dispatch::MergeTopRecords(parts, this->request->route->topRecords);
   response.prepare_payload();
   Counter counter = coverage.missing == 0 ? Counter::Answered : Counter::AnsweredPartly;
-  this->Respond(std::move(response), counter, this->Detail());
+  this->Answer(std::move(response), counter, this->Detail());
 }
 
 void
@@ -151,6 +164,18 @@
   }
 }
 
+std::vector<std::shared_ptr<UpstreamServer>>
+GatherRun::LostAt() const
+{
+  std::vector<std::shared_ptr<UpstreamServer>> servers;
+  for (const auto& call : this->calls) {
+    for (const auto& server : call->LostAt()) {
+      servers.push_back(server);
+    }
+  }
+  return servers;
+}
+
 void
 GatherRun::DetachCalls()
 {
--- a/libs/engine/src/GatherRun.h
+++ b/libs/engine/src/GatherRun.h
@@ -20,6 +20,7 @@
   void Evaluate() override;
   void CancelCalls() override;
   void DetachCalls() override;
+  std::vector<std::shared_ptr<UpstreamServer>> LostAt() const override;
   std::shared_ptr<RunBase> Self() override { return this->shared_from_this(); }
 
 private:
@@ -29,9 +30,13 @@
   bool NothingSent() const;
   dispatch::Refusal TrueRefusal(bool aTimeIsOver) const;
   std::string Detail() const;
-  void Answer();
+  void MergeAndAnswer();
+  /// Starts the calls that are not under way. Those of a suspect request wait until one shard's
+  /// server has answered it.
+  void StartCalls(base::Instant aNow);
 
   std::vector<std::shared_ptr<ServiceCall>> calls;
+  size_t started = 0;
 };
 
 } // namespace sapphirewind::engine
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -52,11 +52,14 @@
                             .regions = this->settings.regions,
                             .extraShare = this->settings.extraShare,
                             .extraMinimum = this->settings.extraMinimum })
+    , crashGuard(CrashGuard::Options{
+        .tellPeers = [this](const std::string& aMessage) { this->world.TellPeers(aMessage); } })
     , context{ .loop = this->loop,
                .codec = this->wire,
                .fleet = this->fleet,
                .random = base::ThreadRandom(),
-               .metrics = this->metrics }
+               .metrics = this->metrics,
+               .crashGuard = this->crashGuard }
     , world(World::Options{ .context = this->context,
                             .codec = aOptions.store,
                             .storeAddress = this->settings.storeAddress,
@@ -219,6 +222,7 @@
     base::Instant now = base::Now();
     this->world.KeepHouse(now);
     this->fleet.CloseExpired(now);
+    this->crashGuard.KeepHouse(now);
     if (now - this->settingsReadAt >= kSettingsInterval) {
       this->settingsReadAt = now;
       this->ReloadSettings();
@@ -254,6 +258,7 @@
   Loop loop{ 1 };
   Metrics metrics;
   Fleet fleet;
+  CrashGuard crashGuard;
   EngineContext context;
   World world;
   Ingress ingress;
--- a/libs/engine/src/MirrorServer.cpp
+++ b/libs/engine/src/MirrorServer.cpp
@@ -54,6 +54,12 @@
 void
 MirrorServer::Handle(const HttpRequest& aRequest, HttpServer::Respond aRespond)
 {
+  bool isNews = aRequest.method() == http::verb::post && aRequest.target() == kCrashNewsTarget;
+  if (isNews) {
+    bool understood = this->options.onCrashNews(aRequest.body());
+    aRespond(WithStatus(understood ? http::status::no_content : http::status::bad_request));
+    return;
+  }
   auto query = this->options.codec.readQuery(std::string(aRequest.target()));
   if (!query || aRequest.method() != http::verb::get) {
     aRespond(WithStatus(http::status::not_found));
--- a/libs/engine/src/MirrorServer.h
+++ b/libs/engine/src/MirrorServer.h
@@ -1,4 +1,4 @@
-/// @file Answers other instances from what this one heard from the store.
+/// @file Answers other instances from what this one heard from the store, and takes their news.
 #pragma once
 
 #include <engine/HttpServer.h>
@@ -8,6 +8,9 @@
 
 namespace sapphirewind::engine {
 
+/// Where instances tell each other of requests that crash servers.
+constexpr const char* kCrashNewsTarget = "/crash-news";
+
 class MirrorServer
 {
 public:
@@ -20,6 +23,8 @@
     base::Duration freshness{ 0 };
     /// Whether this instance follows the store itself.
     std::function<bool(StoreKind)> followsStore;
+    /// Takes another instance's news of requests that crash servers; false when malformed.
+    std::function<bool(const std::string&)> onCrashNews;
   };
 
   explicit MirrorServer(Options aOptions);
--- a/libs/engine/src/PlainRun.cpp
+++ b/libs/engine/src/PlainRun.cpp
@@ -81,7 +81,7 @@
   if (!bodiless || !hasLength) {
     response.prepare_payload();
   }
-  this->Respond(std::move(response), Counter::Answered, "asked=" + this->call->Describe());
+  this->Answer(std::move(response), Counter::Answered, "asked=" + this->call->Describe());
 }
 
 void
@@ -90,6 +90,12 @@
   this->call->Cancel();
 }
 
+std::vector<std::shared_ptr<UpstreamServer>>
+PlainRun::LostAt() const
+{
+  return this->call->LostAt();
+}
+
 void
 PlainRun::DetachCalls()
 {
--- a/libs/engine/src/PlainRun.h
+++ b/libs/engine/src/PlainRun.h
@@ -18,6 +18,7 @@
   void Evaluate() override;
   void CancelCalls() override;
   void DetachCalls() override;
+  std::vector<std::shared_ptr<UpstreamServer>> LostAt() const override;
   std::shared_ptr<RunBase> Self() override { return this->shared_from_this(); }
 
 private:
--- a/libs/engine/src/RunBase.cpp
+++ b/libs/engine/src/RunBase.cpp
@@ -80,6 +80,13 @@
   callback(std::move(aResponse));
 }
 
+void
+RunBase::Answer(HttpResponse&& aResponse, Counter aCounter, const std::string& aDetail)
+{
+  this->context.crashGuard.OnAnswered(this->request->fingerprint, this->request->meta.id);
+  this->Respond(std::move(aResponse), aCounter, aDetail);
+}
+
 void
 RunBase::Refuse(dispatch::Refusal aRefusal, const std::string& aDetail)
 {
@@ -90,6 +97,10 @@
     counter = Counter::TimedOut;
   }
   this->CancelCalls();
+  this->context.crashGuard.OnUnanswered({ .requestId = this->request->meta.id,
+                                          .fingerprint = this->request->fingerprint,
+                                          .lostAt = this->LostAt(),
+                                          .ranAlone = this->request->isSuspect });
   this->Respond(MakeRefusal(aRefusal, kRetryAfter), counter, aDetail);
 }
 
--- a/libs/engine/src/RunBase.h
+++ b/libs/engine/src/RunBase.h
@@ -27,6 +27,8 @@
   virtual void Evaluate() = 0;
   virtual void CancelCalls() = 0;
   virtual void DetachCalls() = 0;
+  /// Servers that broke their connection off while they had the request.
+  virtual std::vector<std::shared_ptr<UpstreamServer>> LostAt() const = 0;
   virtual std::shared_ptr<RunBase> Self() = 0;
 
   base::Instant RefuseBy() const;
@@ -36,13 +38,16 @@
   void WakeAt(base::Instant aWhen);
   /// Evaluates again as soon as the event loop is free.
   void WakeNow();
-  void Respond(HttpResponse&& aResponse, Counter aCounter, const std::string& aDetail);
+  /// Passes an answer on that came from servers.
+  void Answer(HttpResponse&& aResponse, Counter aCounter, const std::string& aDetail);
   void Refuse(dispatch::Refusal aRefusal, const std::string& aDetail);
 
   EngineContext& context;
   std::shared_ptr<const IncomingRequest> request;
 
 private:
+  void Respond(HttpResponse&& aResponse, Counter aCounter, const std::string& aDetail);
+
   OnResponse onResponse;
   Timer timer;
   bool done = false;
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -67,7 +67,9 @@
     return aTry.refusedAt.has_value();
   });
   bool spent = this->tries.size() >= std::max(1U, route.attempts);
-  if ((spent && !mayAskAgain) || !dispatch::MaySendAgain(this->history, route.repeatability) ||
+  bool mayCrashAnother = this->options.request->isSuspect && this->history.mayHaveRun;
+  if ((spent && !mayAskAgain) || mayCrashAnother ||
+      !dispatch::MaySendAgain(this->history, route.repeatability) ||
       this->options.request->deadline - aNow < kLeastRemaining) {
     return Sent::Never;
   }
@@ -168,7 +170,8 @@
   this->options.context.metrics.Count(Counter::UpstreamSend);
   this->open.push_back(attempt);
   this->hedgeAt = base::Instant::max();
-  bool mayHedge = repeatable && this->tries.size() < incoming.route->attempts;
+  bool mayHedge =
+    repeatable && !incoming.isSuspect && this->tries.size() < incoming.route->attempts;
   if (mayHedge) {
     base::Duration another = this->ExpectedOfAnother(aNow).value_or(expected);
     this->hedgeAt = aNow + dispatch::HedgeDelay({ .expectedFirst = expected,
@@ -211,9 +214,7 @@
     aResult.end = dispatch::AttemptEnd::ServerError;
   }
   dispatch::OnEnded(this->history, aResult.end);
-  if (aResult.end == dispatch::AttemptEnd::NotExecuted) {
-    this->NoteRefused(aAttempt->Server());
-  }
+  this->NoteEnd(aAttempt->Server(), aResult.end);
   if (this->state != State::Pending) {
     return;
   }
@@ -243,15 +244,31 @@
 }
 
 void
-ServiceCall::NoteRefused(const UpstreamServer& aServer)
+ServiceCall::NoteEnd(const UpstreamServer& aServer, dispatch::AttemptEnd aEnd)
 {
   for (Try& attempt : this->tries) {
-    if (attempt.server.get() == &aServer) {
+    if (attempt.server.get() != &aServer) {
+      continue;
+    }
+    attempt.lost = attempt.lost || aEnd == dispatch::AttemptEnd::Lost;
+    if (aEnd == dispatch::AttemptEnd::NotExecuted) {
       attempt.refusedAt = base::Now();
     }
   }
 }
 
+std::vector<std::shared_ptr<UpstreamServer>>
+ServiceCall::LostAt() const
+{
+  std::vector<std::shared_ptr<UpstreamServer>> servers;
+  for (const Try& attempt : this->tries) {
+    if (attempt.lost) {
+      servers.push_back(attempt.server);
+    }
+  }
+  return servers;
+}
+
 void
 ServiceCall::Settle(State aState)
 {
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -202,6 +202,25 @@
   this->roundTripKnown = true;
 }
 
+void
+UpstreamServer::Probe(std::function<void(bool aIsGone)> aOnResult)
+{
+  auto socket = std::make_shared<Tcp::socket>(this->options.loop);
+  auto timer = std::make_shared<Timer>(this->options.loop);
+  timer->expires_after(kConnectTimeout);
+  timer->async_wait([socket](ErrorCode aError) {
+    ErrorCode ignored; // Closing ends the attempt to connect.
+    if (!aError) {
+      socket->close(ignored);
+    }
+  });
+  socket->async_connect(this->options.endpoint,
+                        [socket, timer, onResult = std::move(aOnResult)](ErrorCode aError) {
+                          timer->cancel();
+                          onResult(aError == asio::error::connection_refused);
+                        });
+}
+
 void
 UpstreamServer::Retire()
 {
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -13,6 +13,9 @@
 /// How long a mirror that failed is not asked again.
 constexpr base::Duration kMirrorAvoidance = std::chrono::seconds(3);
 
+/// What telling another instance may take: two round trips between regions, and some scheduling.
+constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(500);
+
 const char*
 NameOf(StoreKind aKind)
 {
@@ -32,13 +35,16 @@
 
 World::World(Options aOptions)
   : options(std::move(aOptions))
-  , mirror(MirrorServer::Options{ .loop = this->options.context.loop,
-                                  .codec = this->options.codec,
-                                  .endpoint = this->options.peerEndpoint,
-                                  .freshness = this->options.mirrorWait + kMirrorSlack,
-                                  .followsStore = [this](StoreKind aKind) {
-                                    return !this->Follower(aKind).Source().isMirror;
-                                  } })
+  , mirror(MirrorServer::Options{
+      .loop = this->options.context.loop,
+      .codec = this->options.codec,
+      .endpoint = this->options.peerEndpoint,
+      .freshness = this->options.mirrorWait + kMirrorSlack,
+      .followsStore = [this](StoreKind aKind) { return !this->Follower(aKind).Source().isMirror; },
+      .onCrashNews =
+        [this](const std::string& aMessage) {
+          return this->options.context.crashGuard.OnPeerMessage(aMessage);
+        } })
 {
 }
 
@@ -288,11 +294,42 @@
                                    .metrics = this->options.context.metrics };
 }
 
+void
+World::TellPeers(const std::string& aMessage)
+{
+  for (const directory::InstanceEntry& peer : this->peers) {
+    std::optional<Tcp::endpoint> endpoint = ParseEndpoint(peer.address);
+    if (!endpoint) {
+      continue;
+    }
+    auto connection = std::make_shared<StoreConnection>(
+      StoreConnection::Options{ .loop = this->options.context.loop,
+                                .endpoint = *endpoint,
+                                .host = peer.address,
+                                .metrics = this->options.context.metrics });
+    connection->Make({ .method = http::verb::post,
+                       .target = kCrashNewsTarget,
+                       .body = aMessage,
+                       .timeout = kPeerTimeout },
+                     [connection, name = peer.name](StoreAnswer&& aAnswer) {
+                       if (!aAnswer.response) {
+                         telemetry::Log(telemetry::Event::PeerUnreachable,
+                                        { { "peer", name }, { "why", aAnswer.cause } });
+                       }
+                       connection->Stop();
+                     });
+  }
+}
+
 void
 World::OnCensus(const directory::Census& aCensus)
 {
   base::Instant now = base::Now();
   this->mirrors = directory::ChooseMirrors(aCensus, this->options.region, kMirrorsOfRegion, now);
+  this->peers = directory::ListLive(aCensus, now);
+  std::erase_if(this->peers, [this](const directory::InstanceEntry& aEntry) {
+    return aEntry.name == this->options.instance;
+  });
   size_t count = directory::CountLive(aCensus, now);
   if (count == this->instances) {
     return;
--- a/libs/engine/src/World.h
+++ b/libs/engine/src/World.h
@@ -40,6 +40,9 @@
   /// Changes how long watches wait, from the next one on.
   void SetWaits(base::Duration aWatchWait, base::Duration aMirrorWait);
 
+  /// Passes a message of the crash guard on to all live instances.
+  void TellPeers(const std::string& aMessage);
+
   /// The configuration in force; null before the first.
   const std::shared_ptr<const directory::RouteTable>& Routes() const { return this->routes; }
 
@@ -68,6 +71,8 @@
   std::shared_ptr<StoreFollower> serverFollower;
   std::shared_ptr<Registry> registry;
   size_t instances = 0;
+  /// The live instances but this one.
+  std::vector<directory::InstanceEntry> peers;
   /// The instances of this region that mirror the store; empty when each follows it itself.
   std::vector<directory::InstanceEntry> mirrors;
   /// When a mirror last failed, by address.
--- a/libs/quarantine/include/quarantine/Quarantine.h
+++ b/libs/quarantine/include/quarantine/Quarantine.h
@@ -72,6 +72,13 @@
                 base::Duration aRemaining,
                 base::Instant aNow);
 
+/// A peer suspects a request, as a server was lost under it there.
+void
+OnPeerSuspect(Register& aRegister,
+              Fingerprint aFingerprint,
+              const std::string& aServer,
+              base::Instant aNow);
+
 /// A condemned request with the time that remains, to tell peers.
 struct Condemned
 {
--- a/libs/quarantine/src/Quarantine.cpp
+++ b/libs/quarantine/src/Quarantine.cpp
@@ -88,6 +88,17 @@
   record.condemnedUntil = std::max(record.condemnedUntil, aNow + remaining);
 }
 
+void
+OnPeerSuspect(Register& aRegister,
+              Fingerprint aFingerprint,
+              const std::string& aServer,
+              base::Instant aNow)
+{
+  if (StandingOf(aRegister, aFingerprint, aNow) == Standing::Clear) {
+    OnServerLost(aRegister, aFingerprint, aServer, false, aNow);
+  }
+}
+
 std::vector<Condemned>
 ListCondemned(const Register& aRegister, base::Instant aNow)
 {
--- a/libs/quarantine/test/QuarantineTest.cpp
+++ b/libs/quarantine/test/QuarantineTest.cpp
@@ -53,6 +53,17 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(is_suspect_at_peers_too_and_condemned_there_by_another_server)
+{
+  Register reg;
+  OnPeerSuspect(reg, 7, "a", kStart);
+  BOOST_TEST((StandingOf(reg, 7, kStart) == Standing::Suspect));
+  BOOST_TEST((OnServerLost(reg, 7, "a", true, kStart) == Standing::Suspect));
+  BOOST_TEST((OnServerLost(reg, 7, "b", true, kStart) == Standing::Condemned));
+  OnPeerSuspect(reg, 7, "c", kStart);
+  BOOST_TEST((StandingOf(reg, 7, kStart) == Standing::Condemned));
+}
+
 BOOST_AUTO_TEST_CASE(is_refused_by_peers_too_for_a_bounded_time)
 {
   Register reg;
--- a/test/soak/Fleet.cpp
+++ b/test/soak/Fleet.cpp
@@ -134,6 +134,8 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(out, STDOUT_FILENO);
+    // Inherited sockets would keep the stand-ins' connections and ports open after they close them.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execl(this->options.program.c_str(), this->options.program.c_str(), flag.c_str(), nullptr);
     _exit(127);
   }
