--- a/libs/dispatch/include/dispatch/Outcome.h
+++ b/libs/dispatch/include/dispatch/Outcome.h
@@ -16,6 +16,10 @@
   Unusable      ///< Bytes that are no answer to this request; it may have run.
 };
 
+/// A short name for logs and metrics.
+const char*
+NameOf(AttemptEnd aEnd);
+
 /// What is known of all attempts of one request so far.
 struct AttemptHistory
 {
--- a/libs/dispatch/src/Outcome.cpp
+++ b/libs/dispatch/src/Outcome.cpp
@@ -4,6 +4,26 @@
 
 namespace sapphirewind::dispatch {
 
+const char*
+NameOf(AttemptEnd aEnd)
+{
+  switch (aEnd) {
+    case AttemptEnd::Answered:
+      return "answered";
+    case AttemptEnd::NotConnected:
+      return "not_connected";
+    case AttemptEnd::NotExecuted:
+      return "not_executed";
+    case AttemptEnd::ServerError:
+      return "server_error";
+    case AttemptEnd::Lost:
+      return "lost";
+    case AttemptEnd::Unusable:
+      return "unusable";
+  }
+  return "";
+}
+
 void
 OnStarted(AttemptHistory& aHistory)
 {
--- a/libs/engine/include/engine/CrashGuard.h
+++ b/libs/engine/include/engine/CrashGuard.h
@@ -49,6 +49,9 @@
   /// Takes in what another instance tells. False when it is malformed.
   bool OnPeerMessage(const std::string& aMessage);
 
+  /// Requests that are suspect or refused.
+  size_t Size() const { return this->requests.records.size(); }
+
   /// Forgets what is over.
   void KeepHouse(base::Instant aNow);
 
--- a/libs/engine/include/engine/Fleet.h
+++ b/libs/engine/include/engine/Fleet.h
@@ -56,6 +56,22 @@
 
   void CloseExpired(base::Instant aNow);
 
+  /// The source of the table of servers answered.
+  void NoteHeard(base::Instant aNow) { this->heardAt = aNow; }
+  base::Instant HeardAt() const { return this->heardAt; }
+
+  /// Counts of servers by state and the service whose budget of second sends is the lowest.
+  struct Summary
+  {
+    size_t ready = 0;
+    size_t draining = 0;
+    size_t ejected = 0;
+    /// From 0 to 1.
+    double lowestBudget = 1.0;
+    std::string lowestBudgetService;
+  };
+  Summary Summarise(base::Instant aNow) const;
+
   size_t Size() const { return this->byId.size(); }
 
 private:
@@ -69,6 +85,7 @@
   Options options;
   size_t instances;
   base::Instant startedAt;
+  base::Instant heardAt;
   std::map<std::string, size_t> instancesByRegion;
   std::map<std::string, std::shared_ptr<UpstreamServer>> byId;
   std::unordered_map<std::string, Servers> byService;
--- a/libs/engine/include/engine/Metrics.h
+++ b/libs/engine/include/engine/Metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <base/Time.h>
+#include <engine/Beliefs.h>
 #include <memory>
 #include <string>
 
@@ -21,7 +22,9 @@
   AttemptFailed,   ///< Attempts without a usable answer.
   BudgetExhausted, ///< Second sends that the budget kept back.
   StoreCall,       ///< Calls to the platform's store.
-  StoreCallFailed  ///< Of these, without a usable answer.
+  StoreCallFailed, ///< Of these, without a usable answer.
+  PeerCall,        ///< Calls to other instances.
+  PeerCallFailed   ///< Of these, without a usable answer.
 };
 
 class Metrics
@@ -32,11 +35,14 @@
 
   void Count(Counter aCounter, uint64_t aBy = 1);
 
-  /// Adds an answered request's latency to the histogram of its route's rank.
-  void ObserveLatency(int aRank, base::Duration aLatency);
+  /// Counts a request that ended by its route's rank and outcome, and adds its latency.
+  void ObserveRequest(int aRank, Counter aOutcome, base::Duration aLatency);
 
-  /// The usual metrics text.
-  std::string Write() const;
+  /// How much later than asked for the event loop woke up.
+  void ObserveLoopLag(base::Duration aLag);
+
+  /// The usual metrics text, with what is believed now.
+  std::string Write(const Beliefs& aBeliefs);
 
 private:
   struct Impl;
--- a/libs/engine/include/engine/ServiceCall.h
+++ b/libs/engine/include/engine/ServiceCall.h
@@ -7,6 +7,7 @@
 #include <engine/CrashGuard.h>
 #include <engine/Fleet.h>
 #include <engine/Metrics.h>
+#include <json/value.h>
 
 namespace sapphirewind::engine {
 
@@ -90,8 +91,10 @@
   unsigned Hedges() const { return this->hedges; }
   /// Servers that broke the connection off while they had the request.
   std::vector<std::shared_ptr<UpstreamServer>> LostAt() const;
-  /// The servers that were asked and when, for the log: "service:server@12ms".
-  std::string Describe() const;
+  /// What was tried, for the log: each server with when and why it was chosen and how it ended.
+  Json::Value Describe() const;
+  /// Whether anything happened that a log should tell: more than one try, or no answer.
+  bool IsNotable() const;
 
 private:
   enum class Sent
@@ -111,6 +114,9 @@
   bool IsExcluded(const UpstreamServer& aServer, base::Instant aNow) const;
   std::shared_ptr<HttpRequest> MakeRequest(const UpstreamServer& aServer, base::Instant aNow) const;
   void OnEnd(const std::shared_ptr<Attempt>& aAttempt, ExchangeResult&& aResult);
+  void NoteStart(const std::shared_ptr<UpstreamServer>& aServer,
+                 base::Duration aExpected,
+                 base::Instant aNow);
   void NoteEnd(const UpstreamServer& aServer, dispatch::AttemptEnd aEnd);
   void Settle(State aState);
 
@@ -123,16 +129,20 @@
   {
     std::shared_ptr<UpstreamServer> server;
     base::Instant at{};
+    /// The latency that was expected of it when it was chosen.
+    base::Duration expected{ 0 };
+    /// How it ended last; empty while it is open.
+    std::optional<dispatch::AttemptEnd> end;
     /// Set when the server said that it did not run the request, which lets it be asked again.
     std::optional<base::Instant> refusedAt;
-    /// The connection was broken off after the request was sent.
-    bool lost = false;
   };
   std::vector<Try> tries;
   size_t shortfall = 1;
   ExchangeResult answer;
   bool hasAnswer = false;
   unsigned hedges = 0;
+  /// How often a second send was due and kept back, for the budget or since it would not help.
+  unsigned heldBack = 0;
   bool resendDue = false;
   base::Instant hedgeAt = base::Instant::max();
   base::Instant nextDue = base::Instant::max();
--- a/libs/engine/include/engine/StoreConnection.h
+++ b/libs/engine/include/engine/StoreConnection.h
@@ -26,6 +26,8 @@
     Tcp::endpoint endpoint;
     std::string host;
     Metrics& metrics;
+    /// The other side is an instance, not the store itself.
+    bool toInstance = false;
   };
 
   struct Call
--- a/libs/engine/src/ClientSession.cpp
+++ b/libs/engine/src/ClientSession.cpp
@@ -179,9 +179,8 @@
 {
   http::status status = StatusOf(aError);
   this->host.Context().metrics.Count(Counter::BadRequest);
-  telemetry::Log(
-    telemetry::Event::RequestRejected,
-    { { "status", std::to_string(static_cast<int>(status)) }, { "why", aError.message() } });
+  telemetry::Log(telemetry::Event::RequestRejected,
+                 { { "status", static_cast<int>(status) }, { "why", aError.message() } });
   this->keepAlive = false;
   this->Write(MakeOwnAnswer(status, "malformed request: " + aError.message()));
 }
@@ -198,7 +197,7 @@
     this->keepAlive = false;
     context.metrics.Count(Counter::BadRequest);
     telemetry::Log(telemetry::Event::RequestRejected,
-                   { { "status", "400" }, { "why", "no single host, path or usable method" } });
+                   { { "status", 400 }, { "why", "no single host, path or usable method" } });
     this->Write(MakeOwnAnswer(http::status::bad_request, "not a request that can be served"));
     return;
   }
@@ -235,9 +234,10 @@
   if (route == nullptr) {
     context.metrics.Count(Counter::BadRequest);
     telemetry::Log(telemetry::Event::RequestRejected,
-                   { { "status", "404" },
+                   { { "request", context.codec.readRequest(*aRequest).id },
+                     { "status", 404 },
                      { "why", "no route" },
-                     { "version", std::to_string(routes->Current().version) },
+                     { "version", routes->Current().version },
                      { "target", std::string(aRequest->target()) } });
     this->Write(MakeOwnAnswer(http::status::not_found, "no route"));
     return;
@@ -285,7 +285,7 @@
   this->host.Context().metrics.Count(Counter::RefusedNotRun);
   telemetry::Log(telemetry::Event::RequestRejected,
                  { { "request", aRequest.meta.id },
-                   { "status", "503" },
+                   { "status", 503 },
                    { "why", "servers crashed under it" },
                    { "fingerprint", base::ToHex(aRequest.fingerprint) } });
   this->Write(MakeRefusal(dispatch::Refusal::NotRun, kRetryCondemned));
@@ -361,7 +361,9 @@
 {
   if (this->state == State::Waiting) {
     telemetry::Log(telemetry::Event::RequestRejected,
-                   { { "status", "503" }, { "why", "no configuration yet" } });
+                   { { "request", this->host.Context().codec.readRequest(*this->waiting).id },
+                     { "status", 503 },
+                     { "why", "no configuration yet" } });
     this->waiting.reset();
     this->Write(MakeRefusal(dispatch::Refusal::NotRun, kRetryWithoutConfiguration));
     return;
@@ -371,7 +373,7 @@
     this->keepAlive = false;
     this->host.Context().metrics.Count(Counter::BadRequest);
     telemetry::Log(telemetry::Event::RequestRejected,
-                   { { "status", "408" }, { "why", "the request took too long to arrive" } });
+                   { { "status", 408 }, { "why", "the request took too long to arrive" } });
     this->Write(MakeOwnAnswer(http::status::request_timeout, "the request took too long"));
     return;
   }
--- a/libs/engine/src/Fleet.cpp
+++ b/libs/engine/src/Fleet.cpp
@@ -26,6 +26,7 @@
   : options(std::move(aOptions))
   , instances(kAssumedInstances)
   , startedAt(base::Now())
+  , heardAt(this->startedAt)
 {
 }
 
@@ -100,6 +101,13 @@
     if (!server) {
       continue;
     }
+    if (!same) {
+      telemetry::LogRoutine(telemetry::Event::ServerTakenIn,
+                            { { "server", id },
+                              { "service", entry.server.service },
+                              { "address", entry.server.address },
+                              { "revision", entry.revision } });
+    }
     server->SetShare(this->ShareOf(entry.server, limit, aNow));
     if (entry.server.draining) {
       server->Retire();
@@ -170,6 +178,30 @@
   return this->splits[aRoute];
 }
 
+Fleet::Summary
+Fleet::Summarise(base::Instant aNow) const
+{
+  Summary summary;
+  for (const auto& [id, server] : this->byId) {
+    const dispatch::Upstream& state = server->State();
+    if (state.draining) {
+      ++summary.draining;
+    } else if (dispatch::IsEjected(state, aNow)) {
+      ++summary.ejected;
+    } else {
+      ++summary.ready;
+    }
+  }
+  for (const auto& [service, budget] : this->budgets) {
+    double left = budget.tokens / budget.most;
+    if (left < summary.lowestBudget) {
+      summary.lowestBudget = left;
+      summary.lowestBudgetService = service;
+    }
+  }
+  return summary;
+}
+
 void
 Fleet::CloseExpired(base::Instant aNow)
 {
--- a/libs/engine/src/GatherRun.cpp
+++ b/libs/engine/src/GatherRun.cpp
@@ -4,6 +4,13 @@
 
 namespace sapphirewind::engine {
 
+namespace {
+
+/// Calls that one line of the log tells of: a query may go to hundreds of shards.
+constexpr Json::ArrayIndex kMostCallsLogged = 20;
+
+} // namespace
+
 void
 GatherRun::Start()
 {
@@ -108,7 +115,8 @@
   bool crashedAgain = this->started < this->calls.size() &&
                       this->calls.front()->CurrentState() == ServiceCall::State::Failed;
   if (crashedAgain || step == dispatch::GatherStep::GiveUp || timeIsOver || foundNoRoom) {
-    this->Refuse(this->TrueRefusal(timeIsOver), this->Detail());
+    this->Refuse(this->TrueRefusal(timeIsOver),
+                 timeIsOver ? kTimeOver : (foundNoRoom ? kNoRoom : kTooFewParts));
     return;
   }
   base::Instant wake = this->LastMoment();
@@ -121,18 +129,16 @@
   this->WakeAt(wake);
 }
 
-std::string
-GatherRun::Detail() const
+Json::Value
+GatherRun::NotableCalls() const
 {
-  std::string missing;
-  unsigned hedges = 0;
+  Json::Value calls(Json::arrayValue);
   for (const auto& call : this->calls) {
-    hedges += call->Hedges();
-    if (call->CurrentState() != ServiceCall::State::Answered) {
-      missing += (missing.empty() ? "" : ",") + call->Describe();
+    if (call->IsNotable() && calls.size() < kMostCallsLogged) {
+      calls.append(call->Describe());
     }
   }
-  return "hedges=" + std::to_string(hedges) + " missing=" + missing;
+  return calls;
 }
 
 void
@@ -153,7 +159,7 @@
   response.body() = dispatch::MergeTopRecords(parts, this->request->route->topRecords);
   response.prepare_payload();
   Counter counter = coverage.missing == 0 ? Counter::Answered : Counter::AnsweredPartly;
-  this->Answer(std::move(response), counter, this->Detail());
+  this->Answer(std::move(response), counter);
 }
 
 void
--- a/libs/engine/src/GatherRun.h
+++ b/libs/engine/src/GatherRun.h
@@ -21,6 +21,7 @@
   void CancelCalls() override;
   void DetachCalls() override;
   std::vector<std::shared_ptr<UpstreamServer>> LostAt() const override;
+  Json::Value NotableCalls() const override;
   std::shared_ptr<RunBase> Self() override { return this->shared_from_this(); }
 
 private:
@@ -29,7 +30,6 @@
   void AdvanceCalls(base::Instant aNow);
   bool NothingSent() const;
   dispatch::Refusal TrueRefusal(bool aTimeIsOver) const;
-  std::string Detail() const;
   void MergeAndAnswer();
   /// Starts the calls that are not under way. Those of a suspect request wait until one shard's
   /// server has answered it.
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -108,6 +108,7 @@
       return error;
     }
     this->AwaitSignal();
+    this->housekeeping.expires_at(base::Now());
     this->KeepHouse();
     telemetry::Log(telemetry::Event::Started,
                    { { "instance", this->settings.instance },
@@ -134,8 +135,7 @@
     if (this->ingress.IsDraining()) {
       return;
     }
-    telemetry::Log(telemetry::Event::Stopping,
-                   { { "sessions", std::to_string(this->ingress.Sessions()) } });
+    telemetry::Log(telemetry::Event::Stopping, { { "sessions", this->ingress.Sessions() } });
     this->ingress.BeginDraining();
     this->stopStartedAt = base::Now();
     this->stopTimer.expires_after(kNotice);
@@ -159,15 +159,40 @@
                            : MakeOwnAnswer(http::status::service_unavailable, "not ready");
   }
 
-  HttpResponse MetricsPage(const HttpRequest& aRequest) const
+  Beliefs Describe() const
+  {
+    base::Instant now = base::Now();
+    Fleet::Summary servers = this->fleet.Summarise(now);
+    Beliefs beliefs{ .instance = this->settings.instance,
+                     .ready = this->IsReady(),
+                     .stopping = this->ingress.IsDraining(),
+                     .serversHeard = now - this->fleet.HeardAt(),
+                     .serversReady = servers.ready,
+                     .serversDraining = servers.draining,
+                     .serversEjected = servers.ejected,
+                     .lowestBudget = servers.lowestBudget,
+                     .lowestBudgetService = servers.lowestBudgetService,
+                     .sessions = this->ingress.Sessions(),
+                     .suspects = this->crashGuard.Size(),
+                     .logLinesDropped = telemetry::DroppedLines() };
+    this->world.Describe(beliefs, now);
+    return beliefs;
+  }
+
+  HttpResponse MetricsPage(const HttpRequest& aRequest)
   {
-    if (aRequest.target() != "/metrics") {
-      return MakeOwnAnswer(http::status::not_found, "not found");
-    }
     HttpResponse response(http::status::ok, 11);
-    response.set(http::field::content_type, "text/plain; version=0.0.4");
-    response.body() = this->metrics.Write();
-    return response;
+    if (aRequest.target() == "/metrics") {
+      response.set(http::field::content_type, "text/plain; version=0.0.4");
+      response.body() = this->metrics.Write(this->Describe());
+      return response;
+    }
+    if (aRequest.target() == "/beliefs") {
+      response.set(http::field::content_type, "application/json");
+      response.body() = document::WriteIndented(ToJson(this->Describe())) + "\n";
+      return response;
+    }
+    return MakeOwnAnswer(http::status::not_found, "not found");
   }
 
   void AwaitSignal()
@@ -213,13 +238,15 @@
 
   void OnUsable()
   {
-    telemetry::Log(telemetry::Event::Ready, { { "servers", std::to_string(this->fleet.Size()) } });
+    telemetry::Log(telemetry::Event::Ready, { { "servers", this->fleet.Size() } });
     this->ingress.OnConfiguration();
   }
 
   void KeepHouse()
   {
     base::Instant now = base::Now();
+    auto lag = std::chrono::duration_cast<base::Duration>(now - this->housekeeping.expiry());
+    this->metrics.ObserveLoopLag(std::max(base::Duration(0), lag));
     this->world.KeepHouse(now);
     this->fleet.CloseExpired(now);
     this->crashGuard.KeepHouse(now);
@@ -240,7 +267,7 @@
     bool timeIsOver = base::Now() - this->stopStartedAt >= this->settings.stopWithin - kStopMargin;
     if (this->ingress.Sessions() == 0 || timeIsOver) {
       telemetry::Log(timeIsOver ? telemetry::Event::StopForced : telemetry::Event::Drained,
-                     { { "sessions", std::to_string(this->ingress.Sessions()) } });
+                     { { "sessions", this->ingress.Sessions() } });
       this->loop.stop();
       return;
     }
--- a/libs/engine/src/Metrics.cpp
+++ b/libs/engine/src/Metrics.cpp
@@ -1,8 +1,10 @@
 #include <engine/Metrics.h>
 
+#include <algorithm>
 #include <array>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -11,17 +13,34 @@
 
 namespace {
 
-constexpr size_t kCounters = static_cast<size_t>(Counter::StoreCallFailed) + 1;
+constexpr size_t kCounters = static_cast<size_t>(Counter::PeerCallFailed) + 1;
 constexpr std::array<const char*, kCounters> kNames = {
-  "answered",         "answered_partly", "refused_not_run",  "failed_unknown", "timed_out",
-  "bad_request",      "caller_left",     "upstream_send",    "hedge",          "attempt_failed",
-  "budget_exhausted", "store_call",      "store_call_failed"
+  "answered",         "answered_partly", "refused_not_run",   "failed_unknown", "timed_out",
+  "bad_request",      "caller_left",     "upstream_send",     "hedge",          "attempt_failed",
+  "budget_exhausted", "store_call",      "store_call_failed", "peer_call",      "peer_call_failed"
 };
 /// Bounds in seconds around the users' objectives of 80 to 1,200 ms.
 const prometheus::Histogram::BucketBoundaries kLatencyBounds = { 0.01, 0.025, 0.05, 0.08,
                                                                  0.12, 0.15,  0.2,  0.4,
                                                                  0.8,  1.2,   2.0,  6.0 };
 
+const prometheus::Histogram::BucketBoundaries kLagBounds = { 0.001, 0.005, 0.01, 0.025,
+                                                             0.05,  0.1,   0.25, 1.0 };
+/// Ranks beyond this one share its series, whatever the operator states.
+constexpr int kHighestRankShown = 9;
+
+double
+Seconds(base::Duration aDuration)
+{
+  return base::ToFractionalMillis(aDuration) / 1000.0;
+}
+
+std::string
+RankLabel(int aRank)
+{
+  return std::to_string(std::clamp(aRank, 0, kHighestRankShown));
+}
+
 } // namespace
 
 struct Metrics::Impl
@@ -29,6 +48,10 @@
   prometheus::Registry registry;
   std::array<prometheus::Counter*, kCounters> counters{};
   prometheus::Family<prometheus::Histogram>* latency = nullptr;
+  prometheus::Family<prometheus::Counter>* requests = nullptr;
+  prometheus::Family<prometheus::Gauge>* servers = nullptr;
+  prometheus::Family<prometheus::Gauge>* beliefs = nullptr;
+  prometheus::Histogram* loopLag = nullptr;
 };
 
 Metrics::Metrics()
@@ -45,6 +68,23 @@
                            .Name("sapphirewind_latency_seconds")
                            .Help("Time from reading a request to its answer")
                            .Register(this->impl->registry);
+  this->impl->requests = &prometheus::BuildCounter()
+                            .Name("sapphirewind_requests_total")
+                            .Help("Requests by their route's rank and by what became of them")
+                            .Register(this->impl->registry);
+  this->impl->servers = &prometheus::BuildGauge()
+                           .Name("sapphirewind_servers")
+                           .Help("Known servers by state")
+                           .Register(this->impl->registry);
+  this->impl->beliefs = &prometheus::BuildGauge()
+                           .Name("sapphirewind_belief")
+                           .Help("What the instance believes now")
+                           .Register(this->impl->registry);
+  this->impl->loopLag = &prometheus::BuildHistogram()
+                           .Name("sapphirewind_loop_lag_seconds")
+                           .Help("How much later than asked for the event loop woke up")
+                           .Register(this->impl->registry)
+                           .Add({}, kLagBounds);
 }
 
 Metrics::~Metrics() = default;
@@ -56,15 +96,42 @@
 }
 
 void
-Metrics::ObserveLatency(int aRank, base::Duration aLatency)
+Metrics::ObserveRequest(int aRank, Counter aOutcome, base::Duration aLatency)
+{
+  std::string rank = RankLabel(aRank);
+  const char* outcome = kNames[static_cast<size_t>(aOutcome)];
+  this->impl->requests->Add({ { "rank", rank }, { "outcome", outcome } }).Increment();
+  this->impl->latency->Add({ { "rank", rank } }, kLatencyBounds).Observe(Seconds(aLatency));
+}
+
+void
+Metrics::ObserveLoopLag(base::Duration aLag)
 {
-  auto& histogram = this->impl->latency->Add({ { "rank", std::to_string(aRank) } }, kLatencyBounds);
-  histogram.Observe(base::ToFractionalMillis(aLatency) / 1000.0);
+  this->impl->loopLag->Observe(Seconds(aLag));
 }
 
 std::string
-Metrics::Write() const
+Metrics::Write(const Beliefs& aBeliefs)
 {
+  auto servers = [this](const char* aState, size_t aCount) {
+    this->impl->servers->Add({ { "state", aState } }).Set(static_cast<double>(aCount));
+  };
+  servers("ready", aBeliefs.serversReady);
+  servers("draining", aBeliefs.serversDraining);
+  servers("ejected", aBeliefs.serversEjected);
+  auto belief = [this](const char* aName, double aValue) {
+    this->impl->beliefs->Add({ { "of", aName } }).Set(aValue);
+  };
+  belief("ready", aBeliefs.ready ? 1.0 : 0.0);
+  belief("configuration_version", static_cast<double>(aBeliefs.version));
+  belief("configuration_age_seconds", Seconds(aBeliefs.versionAge));
+  belief("servers_heard_seconds", Seconds(aBeliefs.serversHeard));
+  belief("store_lost", aBeliefs.storeLost ? 1.0 : 0.0);
+  belief("lowest_budget", aBeliefs.lowestBudget);
+  belief("instances", static_cast<double>(aBeliefs.instances));
+  belief("sessions", static_cast<double>(aBeliefs.sessions));
+  belief("crash_suspects", static_cast<double>(aBeliefs.suspects));
+  belief("log_lines_dropped", static_cast<double>(aBeliefs.logLinesDropped));
   return prometheus::TextSerializer().Serialize(this->impl->registry.Collect());
 }
 
--- a/libs/engine/src/PlainRun.cpp
+++ b/libs/engine/src/PlainRun.cpp
@@ -56,7 +56,7 @@
   }
   bool foundNoRoom = refusal == dispatch::Refusal::NotRun && now >= this->RefuseBy();
   if (failed || timeIsOver || foundNoRoom) {
-    this->Refuse(refusal, "asked=" + this->call->Describe());
+    this->Refuse(refusal, timeIsOver ? kTimeOver : (failed ? kNoTryLeft : kNoRoom));
     return;
   }
   base::Instant wake = std::min(this->call->NextDue(), this->LastMoment());
@@ -69,7 +69,7 @@
 {
   HttpResponse response = this->call->Answer().response;
   if (PromisesNotRun(response.result_int())) {
-    this->Refuse(dispatch::Refusal::Unknown, "the server's refusal is no promise");
+    this->Refuse(dispatch::Refusal::Unknown, kNoPromise);
     return;
   }
   RemoveHopByHop(response);
@@ -81,7 +81,7 @@
   if (!bodiless || !hasLength) {
     response.prepare_payload();
   }
-  this->Answer(std::move(response), Counter::Answered, "asked=" + this->call->Describe());
+  this->Answer(std::move(response), Counter::Answered);
 }
 
 void
@@ -96,6 +96,16 @@
   return this->call->LostAt();
 }
 
+Json::Value
+PlainRun::NotableCalls() const
+{
+  Json::Value calls(Json::arrayValue);
+  if (this->call->IsNotable()) {
+    calls.append(this->call->Describe());
+  }
+  return calls;
+}
+
 void
 PlainRun::DetachCalls()
 {
--- a/libs/engine/src/PlainRun.h
+++ b/libs/engine/src/PlainRun.h
@@ -19,6 +19,7 @@
   void CancelCalls() override;
   void DetachCalls() override;
   std::vector<std::shared_ptr<UpstreamServer>> LostAt() const override;
+  Json::Value NotableCalls() const override;
   std::shared_ptr<RunBase> Self() override { return this->shared_from_this(); }
 
 private:
--- a/libs/engine/src/RunBase.cpp
+++ b/libs/engine/src/RunBase.cpp
@@ -53,42 +53,59 @@
   this->timer.cancel();
   this->CancelCalls();
   this->context.metrics.Count(Counter::CallerLeft);
-  telemetry::Log(
-    telemetry::Event::CallerLeft,
-    { { "request", this->request->meta.id },
-      { "after_ms", std::to_string(base::ToMillis(base::Now() - this->request->receivedAt)) } });
+  telemetry::Log(telemetry::Event::CallerLeft,
+                 { { "request", this->request->meta.id },
+                   { "after_ms", base::ToMillis(base::Now() - this->request->receivedAt) } });
 }
 
 void
-RunBase::Respond(HttpResponse&& aResponse, Counter aCounter, const std::string& aDetail)
+RunBase::Respond(HttpResponse&& aResponse, Counter aCounter, const char* aWhy)
 {
   this->done = true;
   this->timer.cancel();
-  this->DetachCalls();
   base::Duration took = base::Now() - this->request->receivedAt;
   this->context.metrics.Count(aCounter);
-  this->context.metrics.ObserveLatency(this->request->route->rank, took);
-  telemetry::Log(telemetry::Event::RequestEnded,
-                 { { "request", this->request->meta.id },
-                   { "route", this->request->route->name },
-                   { "version", std::to_string(this->request->routes->Current().version) },
-                   { "status", std::to_string(aResponse.result_int()) },
-                   { "took_ms", std::to_string(base::ToMillis(took)) },
-                   { "detail", aDetail } });
+  this->context.metrics.ObserveRequest(this->request->route->rank, aCounter, took);
+  this->LogEnd(aResponse.result_int(), took, aWhy);
+  this->DetachCalls();
   OnResponse callback = std::move(this->onResponse);
   this->onResponse = nullptr;
   callback(std::move(aResponse));
 }
 
 void
-RunBase::Answer(HttpResponse&& aResponse, Counter aCounter, const std::string& aDetail)
+RunBase::LogEnd(unsigned aStatus, base::Duration aTook, const char* aWhy)
+{
+  base::Instant now = base::Now();
+  const directory::Route& route = *this->request->route;
+  base::Duration patience = this->request->deadline - this->request->receivedAt;
+  Json::Value calls = this->NotableCalls();
+  bool inTime = aTook <= route.objective;
+  bool isRoutine = aStatus < 300 && inTime && calls.empty();
+  auto log = isRoutine ? telemetry::LogRoutine : telemetry::Log;
+  log(telemetry::Event::RequestEnded,
+      { { "request", this->request->meta.id },
+        { "route", route.name },
+        { "rank", route.rank },
+        { "version", this->request->routes->Current().version },
+        { "status", aStatus },
+        { "why", aWhy },
+        { "took_ms", base::ToMillis(aTook) },
+        { "objective_ms", base::ToMillis(route.objective) },
+        { "allowed_ms", base::ToMillis(patience) },
+        { "servers_heard_ms", base::ToMillis(now - this->context.fleet.HeardAt()) },
+        { "calls", calls } });
+}
+
+void
+RunBase::Answer(HttpResponse&& aResponse, Counter aCounter)
 {
   this->context.crashGuard.OnAnswered(this->request->fingerprint, this->request->meta.id);
-  this->Respond(std::move(aResponse), aCounter, aDetail);
+  this->Respond(std::move(aResponse), aCounter, "answered");
 }
 
 void
-RunBase::Refuse(dispatch::Refusal aRefusal, const std::string& aDetail)
+RunBase::Refuse(dispatch::Refusal aRefusal, const char* aWhy)
 {
   Counter counter = Counter::FailedUnknown;
   if (aRefusal == dispatch::Refusal::NotRun) {
@@ -96,12 +113,12 @@
   } else if (aRefusal == dispatch::Refusal::TimedOut) {
     counter = Counter::TimedOut;
   }
-  this->CancelCalls();
   this->context.crashGuard.OnUnanswered({ .requestId = this->request->meta.id,
                                           .fingerprint = this->request->fingerprint,
                                           .lostAt = this->LostAt(),
                                           .ranAlone = this->request->isSuspect });
-  this->Respond(MakeRefusal(aRefusal, kRetryAfter), counter, aDetail);
+  this->CancelCalls();
+  this->Respond(MakeRefusal(aRefusal, kRetryAfter), counter, aWhy);
 }
 
 } // namespace sapphirewind::engine
--- a/libs/engine/src/RunBase.h
+++ b/libs/engine/src/RunBase.h
@@ -13,6 +13,13 @@
 /// When a caller whose request found no room is told to come back.
 constexpr base::Duration kRetryAfter = std::chrono::milliseconds(100);
 
+/// Why a request was refused, for its log line.
+constexpr const char* kTimeOver = "its time is over";
+constexpr const char* kNoTryLeft = "no try is left";
+constexpr const char* kNoRoom = "no server had room";
+constexpr const char* kTooFewParts = "too few parts can come";
+constexpr const char* kNoPromise = "the server's refusal does not say that nothing ran";
+
 class RunBase : public RequestRun
 {
 public:
@@ -29,6 +36,8 @@
   virtual void DetachCalls() = 0;
   /// Servers that broke their connection off while they had the request.
   virtual std::vector<std::shared_ptr<UpstreamServer>> LostAt() const = 0;
+  /// The calls that a log should tell of.
+  virtual Json::Value NotableCalls() const = 0;
   virtual std::shared_ptr<RunBase> Self() = 0;
 
   base::Instant RefuseBy() const;
@@ -39,14 +48,15 @@
   /// Evaluates again as soon as the event loop is free.
   void WakeNow();
   /// Passes an answer on that came from servers.
-  void Answer(HttpResponse&& aResponse, Counter aCounter, const std::string& aDetail);
-  void Refuse(dispatch::Refusal aRefusal, const std::string& aDetail);
+  void Answer(HttpResponse&& aResponse, Counter aCounter);
+  void Refuse(dispatch::Refusal aRefusal, const char* aWhy);
 
   EngineContext& context;
   std::shared_ptr<const IncomingRequest> request;
 
 private:
-  void Respond(HttpResponse&& aResponse, Counter aCounter, const std::string& aDetail);
+  void Respond(HttpResponse&& aResponse, Counter aCounter, const char* aWhy);
+  void LogEnd(unsigned aStatus, base::Duration aTook, const char* aWhy);
 
   OnResponse onResponse;
   Timer timer;
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -78,6 +78,7 @@
     return Sent::NotNow;
   }
   if (dispatch::IsExtra(this->history) && !this->MaySpend(*server, aNow)) {
+    ++this->heldBack;
     return Sent::NotNow;
   }
   this->Launch(server, aNow);
@@ -145,17 +146,10 @@
   const IncomingRequest& incoming = *this->options.request;
   bool repeatable = incoming.route->repeatability == directory::Repeatability::Idempotent;
   dispatch::OnStarted(this->history);
-  auto known = std::find_if(this->tries.begin(), this->tries.end(), [&](const Try& aTry) {
-    return aTry.server == aServer;
-  });
-  if (known == this->tries.end()) {
-    this->tries.push_back({ .server = aServer, .at = aNow });
-  } else {
-    known->refusedAt.reset();
-  }
   auto self = this->shared_from_this();
   auto slot = std::make_shared<std::weak_ptr<Attempt>>();
   base::Duration expected = dispatch::ExpectedLatency(aServer->State(), *this->work, aNow);
+  this->NoteStart(aServer, expected, aNow);
   std::shared_ptr<Attempt> attempt = aServer->Send(
     this->MakeRequest(*aServer, aNow),
     incoming.meta.id,
@@ -180,6 +174,22 @@
   }
 }
 
+void
+ServiceCall::NoteStart(const std::shared_ptr<UpstreamServer>& aServer,
+                       base::Duration aExpected,
+                       base::Instant aNow)
+{
+  auto known = std::find_if(this->tries.begin(), this->tries.end(), [&](const Try& aTry) {
+    return aTry.server == aServer;
+  });
+  if (known == this->tries.end()) {
+    this->tries.push_back({ .server = aServer, .at = aNow, .expected = aExpected });
+    return;
+  }
+  known->refusedAt.reset();
+  known->end.reset();
+}
+
 std::optional<base::Duration>
 ServiceCall::ExpectedOfAnother(base::Instant aNow)
 {
@@ -225,9 +235,9 @@
                    { { "request", this->options.request->meta.id },
                      { "service", this->options.service },
                      { "server", aAttempt->Server().Description().id },
-                     { "attempt", std::to_string(this->history.sent) },
-                     { "end", std::to_string(static_cast<int>(aResult.end)) },
-                     { "status", std::to_string(aResult.response.result_int()) },
+                     { "attempt", this->history.sent },
+                     { "end", dispatch::NameOf(aResult.end) },
+                     { "status", aResult.response.result_int() },
                      { "why", aResult.cause } });
   }
   if (answered || aResult.end == dispatch::AttemptEnd::ServerError) {
@@ -250,7 +260,7 @@
     if (attempt.server.get() != &aServer) {
       continue;
     }
-    attempt.lost = attempt.lost || aEnd == dispatch::AttemptEnd::Lost;
+    attempt.end = aEnd;
     if (aEnd == dispatch::AttemptEnd::NotExecuted) {
       attempt.refusedAt = base::Now();
     }
@@ -262,7 +272,7 @@
 {
   std::vector<std::shared_ptr<UpstreamServer>> servers;
   for (const Try& attempt : this->tries) {
-    if (attempt.lost) {
+    if (attempt.end == dispatch::AttemptEnd::Lost) {
       servers.push_back(attempt.server);
     }
   }
@@ -278,16 +288,29 @@
   this->options.onChange();
 }
 
-std::string
+bool
+ServiceCall::IsNotable() const
+{
+  return this->state != State::Answered || this->tries.size() > 1;
+}
+
+Json::Value
 ServiceCall::Describe() const
 {
-  std::string text = this->options.service + ":";
+  Json::Value call;
+  call["service"] = this->options.service;
+  call["answered"] = this->state == State::Answered;
+  call["held_back"] = this->heldBack;
+  call["tries"] = Json::Value(Json::arrayValue);
   for (const Try& attempt : this->tries) {
-    int64_t after = base::ToMillis(attempt.at - this->options.request->receivedAt);
-    text += (text.back() == ':' ? "" : "+") + attempt.server->Description().id + "@" +
-            std::to_string(after) + "ms";
+    Json::Value entry;
+    entry["server"] = attempt.server->Description().id;
+    entry["at_ms"] = Json::Int64(base::ToMillis(attempt.at - this->options.request->receivedAt));
+    entry["expected_ms"] = Json::Int64(base::ToMillis(attempt.expected));
+    entry["end"] = attempt.end ? dispatch::NameOf(*attempt.end) : "open";
+    call["tries"].append(entry);
   }
-  return text;
+  return call;
 }
 
 void
--- a/libs/engine/src/StoreConnection.cpp
+++ b/libs/engine/src/StoreConnection.cpp
@@ -22,7 +22,7 @@
 {
   assert(!this->onAnswer && "one call at a time");
   this->onAnswer = std::move(aOnAnswer);
-  this->options.metrics.Count(Counter::StoreCall);
+  this->options.metrics.Count(this->options.toInstance ? Counter::PeerCall : Counter::StoreCall);
   uint64_t current = ++this->number;
   auto exchange = std::make_shared<Exchange>();
   exchange->request = HttpRequest(aCall.method, aCall.target, 11);
@@ -93,7 +93,8 @@
     return;
   }
   ++this->number;
-  this->options.metrics.Count(Counter::StoreCallFailed);
+  this->options.metrics.Count(this->options.toInstance ? Counter::PeerCallFailed
+                                                       : Counter::StoreCallFailed);
   this->Disconnect();
   OnAnswer callback = std::move(this->onAnswer);
   this->onAnswer = nullptr;
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -66,7 +66,8 @@
     StoreConnection::Options{ .loop = this->options.loop,
                               .endpoint = aSource.endpoint,
                               .host = FormatEndpoint(aSource.endpoint),
-                              .metrics = this->options.metrics });
+                              .metrics = this->options.metrics,
+                              .toInstance = aSource.isMirror });
 }
 
 void
@@ -95,9 +96,9 @@
   }
   HttpResponse& response = *aAnswer.response;
   if (response.result() == http::status::gone && !this->listing) {
-    telemetry::Log(telemetry::Event::StoreHistoryGone,
-                   { { "kind", std::to_string(static_cast<int>(this->options.kind)) },
-                     { "revision", std::to_string(this->revision) } });
+    telemetry::Log(
+      telemetry::Event::StoreHistoryGone,
+      { { "kind", static_cast<int>(this->options.kind) }, { "revision", this->revision } });
     this->listing = true;
     this->listAfter.clear();
     this->CallAfter(base::Duration(0));
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -93,6 +93,7 @@
 {
   dispatch::Upstream& state = this->server->State();
   base::Instant now = base::Now();
+  bool wasEjected = dispatch::IsEjected(state, now);
   switch (aResult.end) {
     case dispatch::AttemptEnd::Answered:
       dispatch::OnAnswered(state, *this->work, this->number, now);
@@ -107,6 +108,14 @@
       dispatch::OnFailed(state, this->number, now);
       break;
   }
+  if (!wasEjected && dispatch::IsEjected(state, now)) {
+    telemetry::Log(telemetry::Event::ServerEjected,
+                   { { "server", this->server->Description().id },
+                     { "service", this->server->Description().service },
+                     { "failures_in_row", state.failuresInRow },
+                     { "for_ms", base::ToMillis(state.ejectedUntil - now) },
+                     { "why", dispatch::NameOf(aResult.end) } });
+  }
   if (aResult.meta.load) {
     dispatch::OnLoadReport(state, *aResult.meta.load, now);
   }
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -25,10 +25,9 @@
 void
 LogMalformed(const StoredObject& aObject)
 {
-  telemetry::Log(telemetry::Event::ObjectMalformed,
-                 { { "object", aObject.name },
-                   { "revision", std::to_string(aObject.revision) },
-                   { "why", aObject.problem } });
+  telemetry::Log(
+    telemetry::Event::ObjectMalformed,
+    { { "object", aObject.name }, { "revision", aObject.revision }, { "why", aObject.problem } });
 }
 
 } // namespace
@@ -147,6 +146,9 @@
                      bool aHasChanges,
                      std::shared_ptr<const std::string> aBody)
 {
+  if (aKind == StoreKind::Servers) {
+    this->options.context.fleet.NoteHeard(base::Now());
+  }
   MirroredKind& kind = this->mirror.Kind(aKind);
   OnMirroredChanges(kind, aTo, aHasChanges, std::move(aBody), base::Now());
   this->mirror.WakeWaiting(aKind);
@@ -213,10 +215,11 @@
       continue;
     }
     this->routes = std::make_shared<const directory::RouteTable>(*object.configuration);
+    this->routesSince = base::Now();
     telemetry::Log(telemetry::Event::ConfigurationInForce,
-                   { { "version", std::to_string(this->routes->Current().version) },
-                     { "revision", std::to_string(object.revision) },
-                     { "routes", std::to_string(this->routes->Current().routes.size()) } });
+                   { { "version", this->routes->Current().version },
+                     { "revision", object.revision },
+                     { "routes", this->routes->Current().routes.size() } });
   }
   this->UpdateFleet();
 }
@@ -232,6 +235,7 @@
       LogMalformed(object);
     }
   }
+  this->options.context.fleet.NoteHeard(base::Now());
   directory::ReplaceAll(this->servers, listed, aRevision, base::Now());
   this->UpdateFleet();
 }
@@ -253,7 +257,7 @@
     if (leaves) {
       telemetry::Log(telemetry::Event::ServerLeaving,
                      { { "server", object.name },
-                       { "revision", std::to_string(object.revision) },
+                       { "revision", object.revision },
                        { "why", object.removed ? "its entry was removed" : "it drains" } });
     }
   }
@@ -294,6 +298,19 @@
                                    .metrics = this->options.context.metrics };
 }
 
+void
+World::Describe(Beliefs& aBeliefs, base::Instant aNow) const
+{
+  if (this->routes) {
+    aBeliefs.version = this->routes->Current().version;
+    aBeliefs.versionAge = aNow - this->routesSince;
+  }
+  const StoreSource& source = this->serverFollower->Source();
+  aBeliefs.follows = source.isMirror ? FormatEndpoint(source.endpoint) : "store";
+  aBeliefs.storeLost = this->servers.storeAway;
+  aBeliefs.instances = this->instances;
+}
+
 void
 World::TellPeers(const std::string& aMessage)
 {
@@ -306,7 +323,8 @@
       StoreConnection::Options{ .loop = this->options.context.loop,
                                 .endpoint = *endpoint,
                                 .host = peer.address,
-                                .metrics = this->options.context.metrics });
+                                .metrics = this->options.context.metrics,
+                                .toInstance = true });
     connection->Make({ .method = http::verb::post,
                        .target = kCrashNewsTarget,
                        .body = aMessage,
@@ -336,8 +354,7 @@
   }
   this->instances = count;
   telemetry::Log(telemetry::Event::InstancesCounted,
-                 { { "instances", std::to_string(count) },
-                   { "mirrors", std::to_string(this->mirrors.size()) } });
+                 { { "instances", count }, { "mirrors", this->mirrors.size() } });
   this->options.context.fleet.SetInstances(directory::CountByRegion(aCensus, now));
   this->UpdateFleet();
 }
--- a/libs/engine/src/World.h
+++ b/libs/engine/src/World.h
@@ -40,6 +40,9 @@
   /// Changes how long watches wait, from the next one on.
   void SetWaits(base::Duration aWatchWait, base::Duration aMirrorWait);
 
+  /// Fills in what it knows of what the instance believes.
+  void Describe(Beliefs& aBeliefs, base::Instant aNow) const;
+
   /// Passes a message of the crash guard on to all live instances.
   void TellPeers(const std::string& aMessage);
 
@@ -82,6 +85,7 @@
   /// The time of care after the start is over.
   bool settled = false;
   std::shared_ptr<const directory::RouteTable> routes;
+  base::Instant routesSince{};
   directory::ServerTable servers;
 };
 
--- a/libs/telemetry/include/telemetry/Events.h
+++ b/libs/telemetry/include/telemetry/Events.h
@@ -1,6 +1,9 @@
-/// @file Numbered log events. docs/EVENTS.md is the catalogue; a test holds it against this list.
+/// @file Numbered log events, one line of JSON each. docs/EVENTS.md is the catalogue; a test holds
+/// it against this list.
 #pragma once
 
+#include <concepts>
+#include <json/value.h>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,6 +52,7 @@
   ServerLost = 402,
   AnswerDiscarded = 403,
   ServerShed = 404,
+  ServerTakenIn = 405,
   RequestSuspect = 410,
   RequestCondemned = 411,
   RequestCleared = 412,
@@ -84,7 +88,8 @@
   /// Empty logs to standard error, "-" to standard output.
   std::string file;
   Level lowest = Level::Info;
-  /// Lines a second that are written; further ones are counted and dropped. 0 writes all.
+  /// Lines a second that are written; further ones are counted and dropped. Routine lines may take
+  /// half of them, so that there is room for what went wrong. 0 writes all.
   unsigned linesPerSecond = 0;
   /// Write from a thread of its own; lines are dropped rather than waited for when it falls behind.
   bool neverBlock = false;
@@ -94,17 +99,48 @@
 void
 OpenLog(const LogOptions& aOptions);
 
+/// A value as it stands in a line.
+class FieldValue
+{
+public:
+  FieldValue(const std::string& aText);
+  FieldValue(const char* aText);
+  FieldValue(const Json::Value& aValue);
+  FieldValue(bool aValue)
+    : json(aValue ? "true" : "false")
+  {
+  }
+  template<std::integral Number>
+  FieldValue(Number aNumber)
+    : json(std::to_string(aNumber))
+  {
+  }
+
+  const std::string& Json() const { return this->json; }
+
+private:
+  std::string json;
+};
+
 /// One name and value of an event.
 struct Field
 {
   const char* name;
-  std::string value;
+  FieldValue value;
 };
 
-/// Logs an event with its fields as `E0401 ServerLeaving server=... `.
+/// Logs an event as `{"time":...,"event":"E0401","name":"ServerLeaving","server":...}`.
 void
 Log(Event aEvent, std::initializer_list<Field> aFields);
 
+/// The same for an event of ordinary work, which gives way first when lines are many.
+void
+LogRoutine(Event aEvent, std::initializer_list<Field> aFields);
+
+/// Lines that were not written since the start.
+uint64_t
+DroppedLines();
+
 /// Writes out what is buffered.
 void
 FlushLog();
--- a/libs/telemetry/src/Events.cpp
+++ b/libs/telemetry/src/Events.cpp
@@ -36,6 +36,7 @@
     { Event::ServerLost, Level::Warning, "ServerLost" },
     { Event::AnswerDiscarded, Level::Warning, "AnswerDiscarded" },
     { Event::ServerShed, Level::Debug, "ServerShed" },
+    { Event::ServerTakenIn, Level::Info, "ServerTakenIn" },
     { Event::RequestSuspect, Level::Warning, "RequestSuspect" },
     { Event::RequestCondemned, Level::Error, "RequestCondemned" },
     { Event::RequestCleared, Level::Info, "RequestCleared" },
--- a/libs/telemetry/src/Log.cpp
+++ b/libs/telemetry/src/Log.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <base/Time.h>
 #include <cassert>
+#include <json/writer.h>
 #include <mutex>
 #include <spdlog/async.h>
 #include <spdlog/sinks/basic_file_sink.h>
@@ -73,9 +74,14 @@
   unsigned perSecond = 0;
   base::Instant secondStarted{};
   unsigned lines = 0;
+  unsigned routineLines = 0;
   unsigned dropped = 0;
+  uint64_t droppedBefore = 0;
 };
 
+/// Routine lines may take one in this many of the lines of a second.
+constexpr unsigned kRoutinePart = 2;
+
 LineLimit&
 TheLimit()
 {
@@ -85,7 +91,7 @@
 
 /// Whether one more line may be written; aDropped tells how many were not in the second before.
 bool
-TakeLine(base::Instant aNow, unsigned& aDropped)
+TakeLine(bool aIsRoutine, base::Instant aNow, unsigned& aDropped)
 {
   LineLimit& limit = TheLimit();
   std::lock_guard guard(limit.lock);
@@ -94,32 +100,92 @@
   }
   if (aNow - limit.secondStarted >= std::chrono::seconds(1)) {
     aDropped = limit.dropped;
+    limit.droppedBefore += limit.dropped;
     limit.secondStarted = aNow;
     limit.lines = 0;
+    limit.routineLines = 0;
     limit.dropped = 0;
   }
-  bool mayWrite = limit.lines < limit.perSecond;
+  bool fits = limit.lines < limit.perSecond;
+  bool routineFits = limit.routineLines < limit.perSecond / kRoutinePart;
+  bool mayWrite = fits && (!aIsRoutine || routineFits);
   ++(mayWrite ? limit.lines : limit.dropped);
+  limit.routineLines += mayWrite && aIsRoutine ? 1 : 0;
   return mayWrite;
 }
 
+/// The process's own name, as it stands in each line.
+std::string&
+InstanceName()
+{
+  static std::string name = "\"\"";
+  return name;
+}
+
 void
 Write(const EventInfo& aInfo, std::initializer_list<Field> aFields)
 {
-  std::string line = fmt::format("E{:04d} {}", static_cast<int>(aInfo.event), aInfo.name);
+  std::string line = fmt::format(R"("instance":{},"event":"E{:04d}","name":"{}")",
+                                 InstanceName(),
+                                 static_cast<int>(aInfo.event),
+                                 aInfo.name);
   for (const Field& field : aFields) {
-    line += fmt::format(" {}={}", field.name, field.value);
+    line += fmt::format(R"(,"{}":{})", field.name, field.value.Json());
   }
   spdlog::default_logger_raw()->log(LibraryLevel(aInfo.level), line);
 }
 
+void
+LogLine(Event aEvent, bool aIsRoutine, std::initializer_list<Field> aFields)
+{
+  const EventInfo& info = InfoOf(aEvent);
+  if (!spdlog::default_logger_raw()->should_log(LibraryLevel(info.level))) {
+    return;
+  }
+  unsigned dropped = 0;
+  bool mayWrite = TakeLine(aIsRoutine, base::Now(), dropped);
+  if (dropped > 0) {
+    Write(InfoOf(Event::LogLinesDropped), { { "lines", dropped } });
+  }
+  if (mayWrite) {
+    Write(info, aFields);
+  }
+}
+
+std::string
+WriteJson(const Json::Value& aValue)
+{
+  static const Json::StreamWriterBuilder kBuilder = [] {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return builder;
+  }();
+  return Json::writeString(kBuilder, aValue);
+}
+
 } // namespace
 
+FieldValue::FieldValue(const std::string& aText)
+  : json(Json::valueToQuotedString(aText.c_str()))
+{
+}
+
+FieldValue::FieldValue(const char* aText)
+  : json(Json::valueToQuotedString(aText))
+{
+}
+
+FieldValue::FieldValue(const Json::Value& aValue)
+  : json(WriteJson(aValue))
+{
+}
+
 void
 OpenLog(const LogOptions& aOptions)
 {
   std::shared_ptr<spdlog::logger> logger = MakeLogger(aOptions);
-  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e%z %L " + aOptions.instance + " %v");
+  logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",%v})");
+  InstanceName() = FieldValue(aOptions.instance).Json();
   logger->set_level(LibraryLevel(aOptions.lowest));
   if (!aOptions.neverBlock) {
     logger->flush_on(spdlog::level::info);
@@ -131,19 +197,22 @@
 void
 Log(Event aEvent, std::initializer_list<Field> aFields)
 {
-  const EventInfo& info = InfoOf(aEvent);
-  spdlog::logger* logger = spdlog::default_logger_raw();
-  if (!logger->should_log(LibraryLevel(info.level))) {
-    return;
-  }
-  unsigned dropped = 0;
-  bool mayWrite = TakeLine(base::Now(), dropped);
-  if (dropped > 0) {
-    Write(InfoOf(Event::LogLinesDropped), { { "lines", std::to_string(dropped) } });
-  }
-  if (mayWrite) {
-    Write(info, aFields);
-  }
+  LogLine(aEvent, false, aFields);
+}
+
+void
+LogRoutine(Event aEvent, std::initializer_list<Field> aFields)
+{
+  LogLine(aEvent, true, aFields);
+}
+
+uint64_t
+DroppedLines()
+{
+  LineLimit& limit = TheLimit();
+  uint64_t overrun = spdlog::thread_pool() ? spdlog::thread_pool()->overrun_counter() : 0;
+  std::lock_guard guard(limit.lock);
+  return limit.droppedBefore + limit.dropped + overrun;
 }
 
 void
--- a/libs/tier/src/CellConclude.cpp
+++ b/libs/tier/src/CellConclude.cpp
@@ -139,7 +139,7 @@
   for (size_t index : routing::ReviewEjections(this->replicas, aNow)) {
     telemetry::Log(telemetry::Event::ServerEjected,
                    { { "server", this->replicas[index].name },
-                     { "latency_ms", std::to_string(this->replicas[index].latencyMs) } });
+                     { "latency_ms", this->replicas[index].latencyMs } });
   }
 }
 
--- a/libs/tier/src/ClaimWriter.cpp
+++ b/libs/tier/src/ClaimWriter.cpp
@@ -141,7 +141,7 @@
     done = this->TryOnce(aIndex, aBucket, aBatch);
   }
   if (!done) {
-    telemetry::Log(telemetry::Event::ClaimWriteFailed, { { "bucket", std::to_string(aIndex) } });
+    telemetry::Log(telemetry::Event::ClaimWriteFailed, { { "bucket", aIndex } });
   }
   std::lock_guard<std::mutex> lock(aBucket.mutex);
   for (const std::shared_ptr<Pending>& pending : aBatch) {
--- a/libs/tier/src/Gossip.cpp
+++ b/libs/tier/src/Gossip.cpp
@@ -70,7 +70,7 @@
     after = this->view.self.incarnation;
   }
   if (after != before) {
-    telemetry::Log(telemetry::Event::RumourRefuted, { { "incarnation", std::to_string(after) } });
+    telemetry::Log(telemetry::Event::RumourRefuted, { { "incarnation", after } });
   }
   if (!changed.empty()) {
     this->context.onChange();
--- a/libs/tier/src/Instance.cpp
+++ b/libs/tier/src/Instance.cpp
@@ -196,7 +196,7 @@
   this->cells.Apply(*next, base::Now());
   this->news = true;
   if (next->IsReady() && !this->everReady.exchange(true)) {
-    telemetry::Log(telemetry::Event::Ready, { { "generation", std::to_string(next->generation) } });
+    telemetry::Log(telemetry::Event::Ready, { { "generation", next->generation } });
   }
 }
 
@@ -324,7 +324,7 @@
     bool wasFiring = before != this->alerts.end() && before->firing;
     if (alert.firing != wasFiring) {
       telemetry::Log(alert.firing ? telemetry::Event::AlertFiring : telemetry::Event::AlertResolved,
-                     { { "alert", alert.name }, { "value", std::to_string(alert.value) } });
+                     { { "alert", alert.name }, { "value", alert.value } });
     }
   }
   this->alerts = std::move(next);
--- a/libs/tier/src/WorldBuilder.cpp
+++ b/libs/tier/src/WorldBuilder.cpp
@@ -29,15 +29,14 @@
     value ? config::ParseConfiguration(value->text, problems) : std::nullopt;
   if (!parsed) {
     telemetry::Log(telemetry::Event::ConfigurationRejected,
-                   { { "generation", std::to_string(object->version) },
+                   { { "generation", object->version },
                      { "problem", problems.empty() ? "malformed" : Describe(problems.front()) } });
     return;
   }
   aWorld.configuration = std::move(*parsed);
   aWorld.generation = object->version;
-  telemetry::Log(
-    telemetry::Event::ConfigurationInForce,
-    { { "generation", std::to_string(object->version) }, { "author", value->author } });
+  telemetry::Log(telemetry::Event::ConfigurationInForce,
+                 { { "generation", object->version }, { "author", value->author } });
 }
 
 void
--- a/test/engine/StoreTest.cpp
+++ b/test/engine/StoreTest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <document/Document.h>
 
 using namespace sapphirewind;
 using namespace sapphirewind::test;
@@ -140,7 +141,29 @@
   BOOST_REQUIRE(page.has_value());
   std::string answered = "sapphirewind_events_total{event=\"answered\"} 1\n";
   BOOST_TEST(page->body().find(answered) != std::string::npos);
-  BOOST_TEST(page->body().find("sapphirewind_latency_seconds_bucket") != std::string::npos);
+  for (const char* metric : { "sapphirewind_latency_seconds_bucket{rank=\"1\"",
+                              "sapphirewind_requests_total{outcome=\"answered\",rank=\"1\"} 1\n",
+                              "sapphirewind_servers{state=\"ready\"} 22\n",
+                              "sapphirewind_belief{of=\"configuration_version\"} 1\n",
+                              "sapphirewind_loop_lag_seconds_bucket" }) {
+    BOOST_TEST(page->body().find(metric) != std::string::npos, metric);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(tells_what_it_believes)
+{
+  this->StartInstance();
+  BOOST_REQUIRE(this->AwaitReady());
+  Caller reader(this->MetricsAddress());
+  reader.Send("GET /beliefs HTTP/1.1\r\nHost: x\r\n\r\n");
+  auto page = reader.Receive();
+  BOOST_REQUIRE(page.has_value());
+  auto beliefs = document::ParseMessage(page->body());
+  BOOST_REQUIRE(beliefs.has_value());
+  BOOST_TEST((*beliefs)["ready"].asBool());
+  BOOST_TEST((*beliefs)["configuration"]["version"].asUInt() == 1U);
+  BOOST_TEST((*beliefs)["servers"]["ready"].asUInt() == 22U);
+  BOOST_TEST((*beliefs)["store"]["follows"].asString() == "store");
 }
 
 BOOST_AUTO_TEST_CASE(registers_itself)
