Give requests that waited for the configuration the usual time to find room

The time now counts from when sending began. The test failed first (two of four requests 503).

The line of a request's end also tells how many servers of a shard are known, leaving and full: without it 'no server had room' did not say which of these it was. E0100 no longer carries the instance twice.

Ruled out: that no server was known (Ready with 51 servers stands before the refusal).

--- a/libs/engine/include/engine/ServiceCall.h
+++ b/libs/engine/include/engine/ServiceCall.h
@@ -114,6 +114,8 @@
   bool IsExcluded(const UpstreamServer& aServer, base::Instant aNow) const;
   std::shared_ptr<HttpRequest> MakeRequest(const UpstreamServer& aServer, base::Instant aNow) const;
   void OnEnd(const std::shared_ptr<Attempt>& aAttempt, ExchangeResult&& aResult);
+  /// How many servers are known now, and how many cannot be sent to.
+  void DescribeServers(Json::Value& aCall) const;
   void NoteStart(const std::shared_ptr<UpstreamServer>& aServer,
                  base::Duration aExpected,
                  base::Instant aNow);
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -111,9 +111,7 @@
     this->housekeeping.expires_at(base::Now());
     this->KeepHouse();
     telemetry::Log(telemetry::Event::Started,
-                   { { "instance", this->settings.instance },
-                     { "zone", this->settings.zone },
-                     { "listen", this->settings.callerAddress } });
+                   { { "zone", this->settings.zone }, { "listen", this->settings.callerAddress } });
     return {};
   }
 
--- a/libs/engine/src/RunBase.cpp
+++ b/libs/engine/src/RunBase.cpp
@@ -11,6 +11,7 @@
   : context(aContext)
   , request(std::move(aRequest))
   , onResponse(std::move(aOnResponse))
+  , startedAt(base::Now())
   , timer(aContext.loop)
 {
 }
@@ -18,7 +19,7 @@
 base::Instant
 RunBase::RefuseBy() const
 {
-  return this->request->receivedAt + this->request->route->objective / kRefuseAfterPart;
+  return this->startedAt + this->request->route->objective / kRefuseAfterPart;
 }
 
 void
--- a/libs/engine/src/RunBase.h
+++ b/libs/engine/src/RunBase.h
@@ -6,7 +6,8 @@
 namespace sapphirewind::engine {
 
 /// The part of the objective after which a request that could not be sent anywhere is refused, so
-/// that its caller can try another instance in time.
+/// that its caller can try another instance in time. It counts from when sending began, as a
+/// request that waited for the configuration meets others that did.
 constexpr int kRefuseAfterPart = 4;
 /// The final answer leaves this long before the caller's time is over.
 constexpr base::Duration kDeadlineMargin = std::chrono::milliseconds(10);
@@ -59,6 +60,7 @@
   void LogEnd(unsigned aStatus, base::Duration aTook, const char* aWhy);
 
   OnResponse onResponse;
+  base::Instant startedAt;
   Timer timer;
   bool done = false;
 };
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -294,6 +294,22 @@
   return this->state != State::Answered || this->tries.size() > 1;
 }
 
+void
+ServiceCall::DescribeServers(Json::Value& aCall) const
+{
+  unsigned leaving = 0;
+  unsigned full = 0;
+  const Fleet::Servers& servers = this->options.context.fleet.ServersOf(this->options.service);
+  for (const auto& server : servers) {
+    bool isLeaving = server->State().draining;
+    leaving += isLeaving ? 1 : 0;
+    full += !isLeaving && !dispatch::HasRoom(server->State()) ? 1 : 0;
+  }
+  aCall["servers"] = Json::UInt64(servers.size());
+  aCall["leaving"] = leaving;
+  aCall["full"] = full;
+}
+
 Json::Value
 ServiceCall::Describe() const
 {
@@ -301,6 +317,7 @@
   call["service"] = this->options.service;
   call["answered"] = this->state == State::Answered;
   call["held_back"] = this->heldBack;
+  this->DescribeServers(call);
   call["tries"] = Json::Value(Json::arrayValue);
   for (const Try& attempt : this->tries) {
     Json::Value entry;
--- a/test/engine/EngineStage.h
+++ b/test/engine/EngineStage.h
@@ -53,7 +53,8 @@
   bool IsRunning() const { return this->instance->IsRunning(); }
 
   std::string MetricsAddress() const { return this->instance->Get().MetricsAddress(); }
-  Caller Connect() { return Caller(this->instance->Get().CallerAddress()); }
+  std::string CallerAddress() const { return this->instance->Get().CallerAddress(); }
+  Caller Connect() { return Caller(this->CallerAddress()); }
 
   /// Writes the standing configuration as a version, with changes made to it first.
   void Configure(uint64_t aVersion, const std::function<void(Json::Value&)>& aChange = {});
--- a/test/engine/StoreTest.cpp
+++ b/test/engine/StoreTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <document/Document.h>
+#include <list>
 
 using namespace sapphirewind;
 using namespace sapphirewind::test;
@@ -66,6 +67,34 @@
   BOOST_TEST(answer->result_int() == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(lets_requests_that_waited_for_the_configuration_wait_for_room_too)
+{
+  this->Configure(2, [](Json::Value& aRoot) {
+    for (Json::Value& service : aRoot["services"]) {
+      service["max_conns"] = 1;
+    }
+    aRoot["routes"][1]["slo_ms"] = 2000;
+  });
+  this->ForServersOf("p",
+                     [](fakes::SearchServer& aServer) { aServer.SetBehaviour({ .work = 5ms }); });
+  this->store.SetMode(fakes::ObjectStore::Mode::Busy);
+  this->StartInstance();
+  std::list<Caller> callers;
+  for (int request = 0; request < 4; ++request) {
+    callers.emplace_back(this->CallerAddress());
+    callers.back().Send(
+      Bytes({ .target = "/p/1", .id = std::to_string(request), .deadlineMs = 60000 }));
+  }
+  // Past the time in which a request that finds no room is refused.
+  std::this_thread::sleep_for(600ms);
+  this->store.SetMode(fakes::ObjectStore::Mode::Serving);
+  for (Caller& caller : callers) {
+    auto answer = caller.Receive();
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->result_int() == 200U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(becomes_ready_when_servers_register_after_it_listed_none)
 {
   for (const auto& server : this->servers) {
