--- a/libs/engine/src/RunBase.cpp
+++ b/libs/engine/src/RunBase.cpp
@@ -88,6 +88,8 @@
       { { "request", this->request->meta.id },
         { "route", route.name },
         { "rank", route.rank },
+        { "idempotent", route.repeatability == directory::Repeatability::Idempotent },
+        { "attempts", route.attempts },
         { "version", this->request->routes->Current().version },
         { "status", aStatus },
         { "why", aWhy },
