--- a/programs/sapphirectl.cpp
+++ b/programs/sapphirectl.cpp
@@ -43,7 +43,10 @@
   "  sapphirectl show                 print the current configuration\n"
   "  sapphirectl status               what the instances say of themselves\n"
   "  sapphirectl audit                who changed what, when\n"
-  "  sapphirectl watch                print each new generation as it comes\n\n"
+  "  sapphirectl watch                print each new generation as it comes\n"
+  "  sapphirectl --instance IP:PORT beliefs\n"
+  "                                   what an instance on the users' platform believes; the\n"
+  "                                   address is that of its metrics\n\n"
   "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 invalid configuration, 4 another change won.";
 
 std::optional<std::string>
@@ -129,18 +132,35 @@
 }
 
 std::optional<Json::Value>
-AskStatus(const std::string& aAddress)
+AskPage(const std::string& aAddress, const std::string& aPath)
 {
   net::Endpoint endpoint;
   if (!net::ParseEndpoint(aAddress, endpoint)) {
     return std::nullopt;
   }
   net::Connection connection(endpoint, net::ConnectionOptions{ .keepAlive = false });
-  base::Result<net::Response> answer =
-    connection.Send(net::Request{ .path = "/v1/status" }, kCallTimeout);
+  base::Result<net::Response> answer = connection.Send(net::Request{ .path = aPath }, kCallTimeout);
   return answer && answer->status == 200 ? document::ParseMessage(answer->body) : std::nullopt;
 }
 
+std::optional<Json::Value>
+AskStatus(const std::string& aAddress)
+{
+  return AskPage(aAddress, "/v1/status");
+}
+
+int
+PrintBeliefs()
+{
+  std::optional<Json::Value> beliefs = AskPage(FLAGS_instance, "/beliefs");
+  if (!beliefs) {
+    std::cerr << "sapphirectl: no beliefs from --instance '" << FLAGS_instance << "'\n";
+    return kExitFailed;
+  }
+  std::cout << document::WriteIndented(*beliefs) << "\n";
+  return 0;
+}
+
 /// Waits until every listed instance has a generation or a higher one.
 int
 WaitInForce(platform::Store& aStore, uint64_t aGeneration)
@@ -384,6 +404,9 @@
   if (words[0] == "check") {
     return Check(words[1]);
   }
+  if (words[0] == "beliefs") {
+    return PrintBeliefs();
+  }
   std::unique_ptr<platform::HttpStore> store = OpenStore();
   if (!store) {
     return kExitUsage;
--- a/programs/sapphirewind.cpp
+++ b/programs/sapphirewind.cpp
@@ -13,8 +13,12 @@
               "",
               "The file with this instance's settings, JSON with comments. Default: the one that "
               "the platform names in the environment.");
-DEFINE_bool(check, false, "Check the settings and exit.");
-DEFINE_int32(log_lines, 400, "Lines of log a second; further ones are counted and dropped.");
+DEFINE_bool(check_settings, false, "Check the settings, print each fault on a line, and exit.");
+DEFINE_uint32(
+  log_lines,
+  400,
+  "Lines of log a second; further ones are counted and dropped. Ordinary work takes half "
+  "at the most. 0 writes all.");
 
 namespace {
 
@@ -106,15 +110,14 @@
   if (!settings) {
     return kExitUsage;
   }
-  if (FLAGS_check) {
+  if (FLAGS_check_settings) {
     std::cout << "settings are valid\n";
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
-  telemetry::OpenLog(
-    telemetry::LogOptions{ .instance = settings->instance,
-                           .file = "-",
-                           .linesPerSecond = static_cast<unsigned>(FLAGS_log_lines),
-                           .neverBlock = true });
+  telemetry::OpenLog(telemetry::LogOptions{ .instance = settings->instance,
+                                            .file = "-",
+                                            .linesPerSecond = FLAGS_log_lines,
+                                            .neverBlock = true });
   return Run(*settings, path, *text);
 }
