--- a/libs/engine/include/engine/ClientSession.h
+++ b/libs/engine/include/engine/ClientSession.h
@@ -54,12 +54,12 @@
   void ParseRequest();
   void ContinueIfExpected();
   void RejectMalformed(ErrorCode aError);
+  void RejectAndClose(const struct Rejection& aRejection);
   void Dispatch();
   void Route(const std::shared_ptr<HttpRequest>& aRequest);
   void StartRun(std::shared_ptr<const HttpRequest> aRequest,
                 std::shared_ptr<const directory::RouteTable> aRoutes,
                 const directory::Route& aRoute);
-  void RefuseCondemned(const IncomingRequest& aRequest);
   void Write(HttpResponse&& aResponse);
   void OnWritten();
   void Linger();
--- a/libs/engine/src/ClientSession.cpp
+++ b/libs/engine/src/ClientSession.cpp
@@ -4,7 +4,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
-#include <telemetry/Events.h>
+
+#include "Rejection.h"
 
 namespace sapphirewind::engine {
 
@@ -177,12 +178,15 @@
 void
 ClientSession::RejectMalformed(ErrorCode aError)
 {
-  http::status status = StatusOf(aError);
-  this->host.Context().metrics.Count(Counter::BadRequest);
-  telemetry::Log(telemetry::Event::RequestRejected,
-                 { { "status", static_cast<int>(status) }, { "why", aError.message() } });
+  this->RejectAndClose(
+    { .status = StatusOf(aError), .why = "malformed request: " + aError.message() });
+}
+
+void
+ClientSession::RejectAndClose(const Rejection& aRejection)
+{
   this->keepAlive = false;
-  this->Write(MakeOwnAnswer(status, "malformed request: " + aError.message()));
+  this->Write(Reject(this->host.Context(), aRejection));
 }
 
 void
@@ -194,11 +198,7 @@
   this->keepAlive = message->keep_alive();
   EngineContext& context = this->host.Context();
   if (!IsProper(*message)) {
-    this->keepAlive = false;
-    context.metrics.Count(Counter::BadRequest);
-    telemetry::Log(telemetry::Event::RequestRejected,
-                   { { "status", 400 }, { "why", "no single host, path or usable method" } });
-    this->Write(MakeOwnAnswer(http::status::bad_request, "not a request that can be served"));
+    this->RejectAndClose({ .why = "no single host, path or usable method" });
     return;
   }
   if (this->host.IsUsable()) {
@@ -232,14 +232,12 @@
     routes->Find(std::string_view(host.data(), host.size()),
                  std::string_view(aRequest->target().data(), aRequest->target().size()));
   if (route == nullptr) {
-    context.metrics.Count(Counter::BadRequest);
-    telemetry::Log(telemetry::Event::RequestRejected,
-                   { { "request", context.codec.readRequest(*aRequest).id },
-                     { "status", 404 },
-                     { "why", "no route" },
-                     { "version", routes->Current().version },
-                     { "target", std::string(aRequest->target()) } });
-    this->Write(MakeOwnAnswer(http::status::not_found, "no route"));
+    this->Write(Reject(context,
+                       { .status = http::status::not_found,
+                         .why = "no route",
+                         .requestId = context.codec.readRequest(*aRequest).id,
+                         .version = routes->Current().version,
+                         .about = std::string(aRequest->target()) }));
     return;
   }
   RemoveHopByHop(*aRequest);
@@ -266,7 +264,13 @@
   incoming->fingerprint = FingerprintOf(*aRequest);
   quarantine::Standing standing = context.crashGuard.StandingOf(incoming->fingerprint);
   if (standing == quarantine::Standing::Condemned) {
-    this->RefuseCondemned(*incoming);
+    this->Write(Reject(context,
+                       { .status = http::status::service_unavailable,
+                         .why = "servers crashed under it",
+                         .requestId = incoming->meta.id,
+                         .version = incoming->routes->Current().version,
+                         .about = base::ToHex(incoming->fingerprint),
+                         .retryAfter = kRetryCondemned }));
     return;
   }
   incoming->isSuspect = standing == quarantine::Standing::Suspect;
@@ -279,18 +283,6 @@
   });
 }
 
-void
-ClientSession::RefuseCondemned(const IncomingRequest& aRequest)
-{
-  this->host.Context().metrics.Count(Counter::RefusedNotRun);
-  telemetry::Log(telemetry::Event::RequestRejected,
-                 { { "request", aRequest.meta.id },
-                   { "status", 503 },
-                   { "why", "servers crashed under it" },
-                   { "fingerprint", base::ToHex(aRequest.fingerprint) } });
-  this->Write(MakeRefusal(dispatch::Refusal::NotRun, kRetryCondemned));
-}
-
 void
 ClientSession::Write(HttpResponse&& aResponse)
 {
@@ -360,21 +352,19 @@
 ClientSession::OnTimer()
 {
   if (this->state == State::Waiting) {
-    telemetry::Log(telemetry::Event::RequestRejected,
-                   { { "request", this->host.Context().codec.readRequest(*this->waiting).id },
-                     { "status", 503 },
-                     { "why", "no configuration yet" } });
+    std::string id = this->host.Context().codec.readRequest(*this->waiting).id;
     this->waiting.reset();
-    this->Write(MakeRefusal(dispatch::Refusal::NotRun, kRetryWithoutConfiguration));
+    this->Write(Reject(this->host.Context(),
+                       { .status = http::status::service_unavailable,
+                         .why = "no configuration yet",
+                         .requestId = id,
+                         .retryAfter = kRetryWithoutConfiguration }));
     return;
   }
   bool halfRead = this->state == State::Reading && this->requestStarted;
   if (halfRead) {
-    this->keepAlive = false;
-    this->host.Context().metrics.Count(Counter::BadRequest);
-    telemetry::Log(telemetry::Event::RequestRejected,
-                   { { "status", 408 }, { "why", "the request took too long to arrive" } });
-    this->Write(MakeOwnAnswer(http::status::request_timeout, "the request took too long"));
+    this->RejectAndClose(
+      { .status = http::status::request_timeout, .why = "the request took too long to arrive" });
     return;
   }
   base::Duration current = this->host.Limits().idleTimeout;
