Use a server again that says it is ready after it drained

Cause: found by reading the soak's faults: a server that drained and says in the same start that it is ready again stayed unused for good, as the connections' owner was retired and kept. A server that a 421 retired stays unused until its entry changes: its address answers for another.

--- a/libs/engine/include/engine/UpstreamServer.h
+++ b/libs/engine/include/engine/UpstreamServer.h
@@ -89,6 +89,10 @@
   /// Sends nothing here any more and closes idle connections.
   void Retire();
 
+  /// The same because its entry says that it drains; it may say that it is ready again.
+  void Drain();
+  bool IsDrained() const { return this->drained; }
+
   /// Bounds the connections of this instance.
   void SetShare(const dispatch::ConnectionShare& aShare);
 
@@ -107,6 +111,7 @@
   std::vector<std::shared_ptr<UpstreamConnection>> idle;
   unsigned keptIdle = 1;
   uint64_t nextNumber = 1;
+  bool drained = false;
   bool roundTripKnown = false;
 };
 
--- a/libs/engine/src/Fleet.cpp
+++ b/libs/engine/src/Fleet.cpp
@@ -96,7 +96,8 @@
     bool same = known != this->byId.end() &&
                 known->second->Description().address == entry.server.address &&
                 known->second->Description().startedAtMs == entry.server.startedAtMs &&
-                known->second->Description().service == entry.server.service;
+                known->second->Description().service == entry.server.service &&
+                (entry.server.draining || !known->second->IsDrained());
     std::shared_ptr<UpstreamServer> server = same ? known->second : this->Create(entry.server);
     if (!server) {
       continue;
@@ -110,7 +111,7 @@
     }
     server->SetShare(this->ShareOf(entry.server, limit, aNow));
     if (entry.server.draining) {
-      server->Retire();
+      server->Drain();
     }
     next.emplace(id, server);
     this->byService[entry.server.service].push_back(server);
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -240,6 +240,13 @@
   }
 }
 
+void
+UpstreamServer::Drain()
+{
+  this->drained = true;
+  this->Retire();
+}
+
 void
 UpstreamServer::SetShare(const dispatch::ConnectionShare& aShare)
 {
