Wait for an instance's exec in the soak

A process that the soak paused between fork and exec held the listening sockets of the stand-ins, so a server that came back could not bind. The soak now waits for the exec.

--- a/fakes/src/HttpStandIn.cpp
+++ b/fakes/src/HttpStandIn.cpp
@@ -12,6 +12,20 @@
 namespace http = engine::http;
 using engine::ErrorCode;
 
+namespace {
+
+/// Binds without listening.
+std::unique_ptr<engine::Tcp::acceptor>
+Bind(engine::Loop& aLoop, const engine::Tcp::endpoint& aEndpoint)
+{
+  auto acceptor = std::make_unique<engine::Tcp::acceptor>(aLoop, aEndpoint.protocol());
+  acceptor->set_option(engine::Tcp::acceptor::reuse_address(true));
+  acceptor->bind(aEndpoint);
+  return acceptor;
+}
+
+} // namespace
+
 StandInLoop::StandInLoop()
   : work(asio::make_work_guard(this->loop))
   , thread([this] { this->loop.run(); })
@@ -179,8 +193,9 @@
 void
 HttpStandIn::Listen()
 {
-  this->acceptor = std::make_unique<engine::Tcp::acceptor>(
-    this->loop.Get(), engine::Tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->port));
+  this->acceptor =
+    Bind(this->loop.Get(), engine::Tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->port));
+  this->acceptor->listen();
   this->port = this->acceptor->local_endpoint().port();
   this->Accept();
 }
@@ -206,9 +221,7 @@
 {
   engine::Tcp::endpoint endpoint = this->acceptor->local_endpoint();
   this->acceptor.reset();
-  this->holder = std::make_unique<engine::Tcp::acceptor>(this->loop.Get(), endpoint.protocol());
-  this->holder->set_option(engine::Tcp::acceptor::reuse_address(true));
-  this->holder->bind(endpoint);
+  this->holder = Bind(this->loop.Get(), endpoint);
 }
 
 void
--- a/libs/engine/include/engine/StoreConnection.h
+++ b/libs/engine/include/engine/StoreConnection.h
@@ -1,5 +1,5 @@
-/// @file A kept connection to the platform's store that carries one call at a time, each with a
-/// time limit.
+/// @file A kept connection to the platform's store, or to an instance that passes its answers on or
+/// takes news, that carries one call at a time, each with a time limit.
 #pragma once
 
 #include <engine/Asio.h>
--- a/test/soak/Fleet.cpp
+++ b/test/soak/Fleet.cpp
@@ -9,6 +9,7 @@
 #include <net/Message.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <system_error>
 #include <unistd.h>
 
 namespace sapphirewind::test {
@@ -128,6 +129,10 @@
 {
   std::string flag = "--settings=" + aInstance.settingsFile;
   std::string log = aInstance.settingsFile + ".log";
+  int started[2];
+  if (pipe2(started, O_CLOEXEC) != 0) {
+    throw std::system_error(errno, std::generic_category(), "pipe2");
+  }
   pid_t pid = fork();
   if (pid == 0) {
     // An instance never outlives the soak that started it.
@@ -135,10 +140,16 @@
     int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(out, STDOUT_FILENO);
     // Inherited sockets would keep the stand-ins' connections and ports open after they close them.
-    close_range(STDERR_FILENO + 1, ~0U, 0);
+    close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     execl(this->options.program.c_str(), this->options.program.c_str(), flag.c_str(), nullptr);
     _exit(127);
   }
+  close(started[1]);
+  // The end of the pipe comes with the exec: a process that is paused before it would hold sockets.
+  char nothing = 0;
+  while (read(started[0], &nothing, 1) < 0 && errno == EINTR) {
+  }
+  close(started[0]);
   aInstance.pid = pid;
 }
 
