--- a/libs/engine/src/Registry.cpp
+++ b/libs/engine/src/Registry.cpp
@@ -27,6 +27,13 @@
   this->Beat();
 }
 
+void
+Registry::Stop()
+{
+  this->timer.cancel();
+  this->connection->Stop();
+}
+
 void
 Registry::Make(StoreConnection::Call aCall, void (Registry::*aNext)(StoreAnswer&&))
 {
--- a/libs/engine/src/Registry.h
+++ b/libs/engine/src/Registry.h
@@ -25,6 +25,7 @@
   explicit Registry(Options aOptions);
 
   void Start();
+  void Stop();
 
 private:
   void Beat();
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -47,6 +47,17 @@
 {
 }
 
+World::~World()
+{
+  // None of them exists when an address could not be used.
+  if (!this->registry) {
+    return;
+  }
+  this->configurationFollower->Stop();
+  this->serverFollower->Stop();
+  this->registry->Stop();
+}
+
 std::error_code
 World::Start()
 {
--- a/libs/engine/src/World.h
+++ b/libs/engine/src/World.h
@@ -30,6 +30,8 @@
   };
 
   explicit World(Options aOptions);
+  /// Ends the calls under way, which keep their followers alive.
+  ~World();
 
   /// Listens for other instances and starts following. Errors: the address cannot be used.
   std::error_code Start();
