Skip to the newest configuration when a mirror's follower is behind

Replayed with logs: the store turned a third of the instances away from 2.5 to 11.5 s; front-vest-a-2 then went through versions 7 (13.5 s), 11 (14.8 s) and 15 (18.2 s) one by one, each of 1,635 routes, and one of its two mirrors did not answer in time; version 15 was due at 17.5 s, six seconds after the disruption.

A mirror now hands out only the newest state of the configuration, which is one object, to whoever is behind. The test fails without it. Ruled out by the log: that the instance did not hear of the store's return (E0211 at 11.9 and 13.5 s).

--- a/libs/engine/include/engine/StoreFollower.h
+++ b/libs/engine/include/engine/StoreFollower.h
@@ -6,6 +6,7 @@
 
 #include <base/Random.h>
 #include <engine/StoreConnection.h>
+#include <engine/StoreMirror.h>
 #include <engine/Wire.h>
 #include <functional>
 
@@ -37,7 +38,7 @@
     /// A page of a list by the name that it continues after, and a watch's answer: the bytes, for
     /// others that follow this instance.
     std::function<void(const std::string&, std::shared_ptr<const std::string>)> onPageBody;
-    std::function<void(uint64_t, bool, std::shared_ptr<const std::string>)> onChangesBody;
+    std::function<void(uint64_t, MirroredNews, std::shared_ptr<const std::string>)> onChangesBody;
     /// A whole list, with the store's revision that it reflects.
     std::function<void(const std::vector<StoredObject>&, uint64_t)> onList;
     /// Changes, in order.
--- a/libs/engine/include/engine/StoreMirror.h
+++ b/libs/engine/include/engine/StoreMirror.h
@@ -53,11 +53,19 @@
 void
 OnMirroredList(MirroredKind& aKind, uint64_t aRevision);
 
-/// A watch was answered; an answer without changes only proves that the store is there.
+/// What a watch's answer brings.
+enum class MirroredNews
+{
+  None,    ///< It only proves that the store is there.
+  Changes, ///< Changes since the watch's revision.
+  Newest   ///< All of the state that followers use: earlier changes need not be passed on.
+};
+
+/// A watch was answered.
 void
 OnMirroredChanges(MirroredKind& aKind,
                   uint64_t aTo,
-                  bool aHasChanges,
+                  MirroredNews aNews,
                   std::shared_ptr<const std::string> aBody,
                   base::Instant aNow);
 
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -18,6 +18,19 @@
 constexpr base::Duration kFirstRetry = std::chrono::milliseconds(100);
 constexpr base::Duration kLongestRetry = std::chrono::milliseconds(400);
 
+/// The configuration is one object that holds all of it, so its latest change is all that counts.
+MirroredNews
+NewsOf(const std::vector<StoredObject>& aObjects)
+{
+  bool hasConfiguration = std::any_of(aObjects.begin(), aObjects.end(), [](const auto& aObject) {
+    return aObject.configuration.has_value();
+  });
+  if (hasConfiguration) {
+    return MirroredNews::Newest;
+  }
+  return aObjects.empty() ? MirroredNews::None : MirroredNews::Changes;
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(Options aOptions)
@@ -156,7 +169,7 @@
   }
   this->Succeed();
   this->options.onChangesBody(page->revision,
-                              !page->objects.empty(),
+                              NewsOf(page->objects),
                               std::make_shared<std::string>(std::move(aResponse.body())));
   this->revision = std::max(this->revision, page->revision);
   if (!page->objects.empty()) {
--- a/libs/engine/src/StoreMirror.cpp
+++ b/libs/engine/src/StoreMirror.cpp
@@ -31,14 +31,17 @@
 void
 OnMirroredChanges(MirroredKind& aKind,
                   uint64_t aTo,
-                  bool aHasChanges,
+                  MirroredNews aNews,
                   std::shared_ptr<const std::string> aBody,
                   base::Instant aNow)
 {
   aKind.heardAt = aNow;
-  if (!aHasChanges || aTo <= aKind.revision) {
+  if (aNews == MirroredNews::None || aTo <= aKind.revision) {
     return;
   }
+  if (aNews == MirroredNews::Newest) {
+    aKind.history.clear();
+  }
   aKind.history.push_back({ .from = aKind.revision, .to = aTo, .body = std::move(aBody) });
   aKind.revision = aTo;
 }
--- a/libs/engine/src/World.cpp
+++ b/libs/engine/src/World.cpp
@@ -99,8 +99,8 @@
     .onPageBody = [this, aKind](const std::string& aAfter,
                                 Body aBody) { this->OnPageBody(aKind, aAfter, std::move(aBody)); },
     .onChangesBody =
-      [this, aKind](uint64_t aTo, bool aHasChanges, Body aBody) {
-        this->OnChangesBody(aKind, aTo, aHasChanges, std::move(aBody));
+      [this, aKind](uint64_t aTo, MirroredNews aNews, Body aBody) {
+        this->OnChangesBody(aKind, aTo, aNews, std::move(aBody));
       },
     .onList =
       [this, aKind, followsServers](const Objects& aObjects, uint64_t aRevision) {
@@ -154,14 +154,14 @@
 void
 World::OnChangesBody(StoreKind aKind,
                      uint64_t aTo,
-                     bool aHasChanges,
+                     MirroredNews aNews,
                      std::shared_ptr<const std::string> aBody)
 {
   if (aKind == StoreKind::Servers) {
     this->options.context.fleet.NoteHeard(base::Now());
   }
   MirroredKind& kind = this->mirror.Kind(aKind);
-  OnMirroredChanges(kind, aTo, aHasChanges, std::move(aBody), base::Now());
+  OnMirroredChanges(kind, aTo, aNews, std::move(aBody), base::Now());
   this->mirror.WakeWaiting(aKind);
   if (IsOverfull(kind)) {
     this->Follower(aKind).ListAgain();
--- a/libs/engine/src/World.h
+++ b/libs/engine/src/World.h
@@ -62,7 +62,7 @@
   void OnLost(StoreKind aKind, const char* aCause);
   void OnReturned(StoreKind aKind);
   void OnPageBody(StoreKind aKind, const std::string& aAfter, std::shared_ptr<const std::string>);
-  void OnChangesBody(StoreKind aKind, uint64_t, bool, std::shared_ptr<const std::string>);
+  void OnChangesBody(StoreKind aKind, uint64_t, MirroredNews, std::shared_ptr<const std::string>);
   StoreFollower& Follower(StoreKind aKind) const;
   StoreSource ChooseSource() const;
   void OnMirrorFailed(const StoreSource& aSource);
--- a/test/engine/MirrorTest.cpp
+++ b/test/engine/MirrorTest.cpp
@@ -100,8 +100,8 @@
 BOOST_AUTO_TEST_CASE(hands_out_the_changes_after_a_revision_one_answer_at_a_time)
 {
   MirroredKind kind = Listed(10);
-  OnMirroredChanges(kind, 12, true, Body("to 12"), kStart);
-  OnMirroredChanges(kind, 15, true, Body("to 15"), kStart);
+  OnMirroredChanges(kind, 12, MirroredNews::Changes, Body("to 12"), kStart);
+  OnMirroredChanges(kind, 15, MirroredNews::Changes, Body("to 15"), kStart);
   BOOST_TEST(*FindChanges(kind, 10).body == "to 12");
   BOOST_TEST(*FindChanges(kind, 11).body == "to 12");
   BOOST_TEST(*FindChanges(kind, 12).body == "to 15");
@@ -110,21 +110,34 @@
   BOOST_TEST((FindChanges(kind, 9).verdict == MirrorVerdict::Gone));
 }
 
+BOOST_AUTO_TEST_CASE(skips_to_the_newest_state_for_whoever_is_behind)
+{
+  MirroredKind kind = Listed(10);
+  OnMirroredChanges(kind, 12, MirroredNews::Newest, Body("to 12"), kStart);
+  OnMirroredChanges(kind, 15, MirroredNews::Newest, Body("to 15"), kStart);
+  OnMirroredChanges(kind, 16, MirroredNews::Changes, Body("to 16"), kStart);
+  BOOST_TEST(*FindChanges(kind, 10).body == "to 15");
+  BOOST_TEST(*FindChanges(kind, 12).body == "to 15");
+  BOOST_TEST(*FindChanges(kind, 15).body == "to 16");
+  BOOST_TEST((FindChanges(kind, 9).verdict == MirrorVerdict::Gone));
+}
+
 BOOST_AUTO_TEST_CASE(is_current_only_while_the_store_answers)
 {
   MirroredKind kind = Listed(10);
   BOOST_TEST(IsFresh(kind, 1s, kStart + 1s));
   BOOST_TEST(!IsFresh(kind, 1s, kStart + 1001ms));
-  OnMirroredChanges(kind, 10, false, Body("none"), kStart + 2s);
+  OnMirroredChanges(kind, 10, MirroredNews::None, Body("none"), kStart + 2s);
   BOOST_TEST(IsFresh(kind, 1s, kStart + 3s));
 }
 
 BOOST_AUTO_TEST_CASE(asks_to_be_listed_anew_once_it_keeps_too_much)
 {
   MirroredKind kind = Listed(10);
-  OnMirroredChanges(kind, 11, true, Body(std::string(kMostMirroredBytes, 'x')), kStart);
+  OnMirroredChanges(
+    kind, 11, MirroredNews::Changes, Body(std::string(kMostMirroredBytes, 'x')), kStart);
   BOOST_TEST(!IsOverfull(kind));
-  OnMirroredChanges(kind, 12, true, Body("x"), kStart);
+  OnMirroredChanges(kind, 12, MirroredNews::Changes, Body("x"), kStart);
   BOOST_TEST(IsOverfull(kind));
 }
 
