Find a mirror's waiting watches by number, not by iterator

Cause: the timer of a waiting watch kept a list iterator. Ruled out: a re-entrant answer (HttpServer never answers inside the call). Before: MirrorServerTest under AddressSanitizer: heap-use-after-free in the timer's handler. After: passes.

--- a/libs/engine/src/MirrorServer.cpp
+++ b/libs/engine/src/MirrorServer.cpp
@@ -106,38 +106,49 @@
 void
 MirrorServer::Wait(const StoreQuery& aQuery, HttpServer::Respond aRespond)
 {
-  auto entry = this->waiting.insert(this->waiting.end(),
-                                    Waiting{ .kind = aQuery.kind,
-                                             .revision = *aQuery.watchFrom,
-                                             .respond = std::move(aRespond),
-                                             .timer = Timer(this->options.loop) });
-  entry->timer.expires_after(aQuery.wait);
-  entry->timer.async_wait([this, entry](ErrorCode aError) {
-    if (aError) {
-      return;
+  uint64_t number = this->nextNumber++;
+  auto entry = this->waiting.emplace(number,
+                                     Waiting{ .kind = aQuery.kind,
+                                              .revision = *aQuery.watchFrom,
+                                              .respond = std::move(aRespond),
+                                              .timer = Timer(this->options.loop) });
+  Timer& timer = entry.first->second.timer;
+  timer.expires_after(aQuery.wait);
+  timer.async_wait([this, number](ErrorCode aError) {
+    if (!aError) {
+      this->OnWaitOver(number);
     }
-    HttpServer::Respond respond = std::move(entry->respond);
-    uint64_t revision = entry->revision;
-    bool current = this->CanServe(entry->kind);
-    this->waiting.erase(entry);
-    respond(current ? WithBody(this->options.codec.writeNoChanges(revision))
-                    : WithStatus(http::status::service_unavailable));
   });
 }
 
+void
+MirrorServer::OnWaitOver(uint64_t aNumber)
+{
+  auto entry = this->waiting.find(aNumber);
+  if (entry == this->waiting.end()) {
+    return;
+  }
+  HttpServer::Respond respond = std::move(entry->second.respond);
+  uint64_t revision = entry->second.revision;
+  bool current = this->CanServe(entry->second.kind);
+  this->waiting.erase(entry);
+  respond(current ? WithBody(this->options.codec.writeNoChanges(revision))
+                  : WithStatus(http::status::service_unavailable));
+}
+
 void
 MirrorServer::AnswerWaiting(StoreKind aKind)
 {
   for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
     auto current = entry++;
-    if (current->kind != aKind) {
+    if (current->second.kind != aKind) {
       continue;
     }
-    WatchResponse answer = FindChanges(this->CacheOf(aKind), current->revision);
+    WatchResponse answer = FindChanges(this->CacheOf(aKind), current->second.revision);
     if (answer.status == WatchStatus::Wait) {
       continue;
     }
-    HttpServer::Respond respond = std::move(current->respond);
+    HttpServer::Respond respond = std::move(current->second.respond);
     this->waiting.erase(current);
     respond(answer.status == WatchStatus::Changes ? WithBody(*answer.body)
                                                   : WithStatus(http::status::gone));
@@ -149,10 +160,10 @@
 {
   for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
     auto current = entry++;
-    if (current->kind != aKind) {
+    if (current->second.kind != aKind) {
       continue;
     }
-    HttpServer::Respond respond = std::move(current->respond);
+    HttpServer::Respond respond = std::move(current->second.respond);
     this->waiting.erase(current);
     respond(WithStatus(http::status::service_unavailable));
   }
--- a/libs/engine/src/MirrorServer.h
+++ b/libs/engine/src/MirrorServer.h
@@ -5,7 +5,7 @@
 #include <engine/HttpServer.h>
 #include <engine/StoreMirror.h>
 #include <engine/Wire.h>
-#include <list>
+#include <map>
 
 namespace sapphirewind::engine {
 
@@ -58,13 +58,17 @@
   void List(const StoreQuery& aQuery, const HttpServer::Respond& aRespond);
   void Watch(const StoreQuery& aQuery, HttpServer::Respond aRespond);
   void Wait(const StoreQuery& aQuery, HttpServer::Respond aRespond);
+  void OnWaitOver(uint64_t aNumber);
   bool CanServe(StoreKind aKind);
 
   Options options;
   HttpServer server;
   MirrorCache configurations;
   MirrorCache servers;
-  std::list<Waiting> waiting;
+  /// By a number that is never reused: a timer's handler that was already queued when its watch was
+  /// answered finds nothing.
+  std::map<uint64_t, Waiting> waiting;
+  uint64_t nextNumber = 0;
 };
 
 } // namespace sapphirewind::engine
--- /dev/null
+++ b/libs/engine/test/MirrorServerTest.cpp
@@ -0,0 +1,103 @@
+#include "../src/MirrorServer.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace sapphirewind;
+using namespace sapphirewind::engine;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint64_t kListRevision = 10;
+
+/// A mirror and a follower whose watch is waiting. The test runs the loop itself, so that it
+/// decides which events are queued together.
+struct WatchedMirror
+{
+  WatchedMirror()
+  {
+    this->codec.readQuery = [](const std::string&) -> std::optional<StoreQuery> {
+      return StoreQuery{ .kind = StoreKind::Servers, .watchFrom = kListRevision, .wait = 50ms };
+    };
+    this->codec.writeNoChanges = [](uint64_t) { return std::string("no changes"); };
+    AddListPage(this->mirror.CacheOf(StoreKind::Servers),
+                "",
+                std::make_shared<std::string>("page"),
+                base::Now());
+    CommitList(this->mirror.CacheOf(StoreKind::Servers), kListRevision);
+    BOOST_REQUIRE(!this->mirror.Start());
+    this->follower.connect(this->mirror.LocalEndpoint());
+    asio::write(this->follower,
+                asio::buffer(std::string("GET /watch HTTP/1.1\r\nHost: m\r\n\r\n")));
+    while (!this->asked) {
+      this->loop.run_one();
+    }
+  }
+
+  /// Runs an action and then the watch's timeout, both of which are due when the loop continues.
+  void RunTogetherWithTimeout(const std::function<void()>& aAction)
+  {
+    Timer first(this->loop);
+    first.expires_at(base::Instant{});
+    first.async_wait([&](ErrorCode) { aAction(); });
+    std::this_thread::sleep_for(100ms);
+    this->loop.poll();
+  }
+
+  /// Everything that the follower has received.
+  std::string Received()
+  {
+    this->loop.poll();
+    std::string text(this->follower.available(), '\0');
+    asio::read(this->follower, asio::buffer(text));
+    return text;
+  }
+
+  Loop loop;
+  StoreCodec codec;
+  bool asked = false;
+  MirrorServer mirror{ MirrorServer::Options{
+    .loop = this->loop,
+    .codec = this->codec,
+    .endpoint = Tcp::endpoint(asio::ip::address_v4::loopback(), 0),
+    .freshness = 10s,
+    .followsStore =
+      [this](StoreKind) {
+        this->asked = true;
+        return true;
+      },
+    .onQuarantineUpdate = [](const std::string&) { return true; } } };
+  Tcp::socket follower{ this->loop };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_watch_that_times_out_as_it, WatchedMirror)
+
+BOOST_AUTO_TEST_CASE(is_answered_gets_the_changes_alone)
+{
+  this->RunTogetherWithTimeout([this] {
+    AddChanges(this->mirror.CacheOf(StoreKind::Servers),
+               kListRevision + 1,
+               MirroredUpdate::Changes,
+               std::make_shared<std::string>("new server"),
+               base::Now());
+    this->mirror.AnswerWaiting(StoreKind::Servers);
+  });
+  std::string received = this->Received();
+  BOOST_TEST(received.find("new server") != std::string::npos);
+  BOOST_TEST(received.find("no changes") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(is_rejected_gets_the_rejection_alone)
+{
+  this->RunTogetherWithTimeout([this] { this->mirror.RejectWaiting(StoreKind::Servers); });
+  std::string received = this->Received();
+  BOOST_TEST(received.find("503") != std::string::npos);
+  BOOST_TEST(received.find("no changes") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
