Ignore a session's timeout that was replaced while its handler was queued

Cause: a cancelled or re-armed timer whose handler is queued runs all the same. A request that arrived as the idle timeout ended was rejected at once, or, when it was being served, had its connection closed. Found by reading every handler that outlives a wait: the others check a state or a number. Before: is_not_ended_by_that_timeout failed (503 at once). After: passes.

--- a/libs/engine/include/engine/ClientSession.h
+++ b/libs/engine/include/engine/ClientSession.h
@@ -35,6 +35,9 @@
   /// Closes the connection unless a request is being read or served.
   void CloseIfIdle();
 
+  /// Whether a complete request waits for the first configuration.
+  bool IsAwaitingConfiguration() const { return this->state == State::AwaitingConfiguration; }
+
   bool IsBusy() const { return this->state != State::Reading || this->buffer.size() > 0; }
 
 private:
@@ -64,6 +67,7 @@
   void OnWritten();
   void Linger();
   void ArmTimer(base::Duration aAfter);
+  void DisarmTimer();
   void OnTimer();
   void Close();
   void ReadNextRequest();
@@ -71,6 +75,9 @@
   SessionHost& host;
   Tcp::socket socket;
   Timer timer;
+  /// Identifies the timer's current wait: the handler of an earlier one may already be queued, and
+  /// then runs in spite of a cancel.
+  uint64_t timerNumber = 0;
   State state = State::Reading;
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
