Bound answers without end, in bytes, wherever they stand

Cause: the HTTP parser limits heads and bodies, but collects a chunk's extensions and trailers without a limit, and skips interim answers for ever; a server that sends such bytes filled the instance's memory. The store's connection counted the body and not its framing. A message whose last chunk came as 3 bytes and then 1 failed an assertion in the library and ended the process, from servers and callers alike. Now: unparsed bytes, bytes of an exchange, interim answers and the bytes of all responses together are bounded; the answer counts as unusable (it may have run), the connection closes. Time is bounded by the caller's deadline, the store's timeout and the idle timeout, as before.

--- a/libs/engine/include/engine/StoreConnection.h
+++ b/libs/engine/include/engine/StoreConnection.h
@@ -56,9 +56,11 @@
     HttpRequest request;
     Parser parser;
     boost::beast::flat_buffer buffer;
+    uint64_t received = 0;
   };
 
   void Send(const std::shared_ptr<Exchange>& aExchange, uint64_t aNumber);
+  void Receive(const std::shared_ptr<Exchange>& aExchange, uint64_t aNumber);
   void Fail(uint64_t aNumber, const char* aCause);
   void Finish(uint64_t aNumber, HttpResponse&& aResponse);
   void Disconnect();
--- a/libs/engine/include/engine/UpstreamConnection.h
+++ b/libs/engine/include/engine/UpstreamConnection.h
@@ -38,6 +38,8 @@
     std::function<void(const std::shared_ptr<UpstreamConnection>&)> onClosed;
     /// Called with the time that the connect took.
     std::function<void(base::Duration)> onConnected;
+    /// The bytes that all connections of the instance hold for responses in progress.
+    std::shared_ptr<uint64_t> bufferedBytes = std::make_shared<uint64_t>(0);
   };
 
   explicit UpstreamConnection(Options aOptions);
@@ -73,6 +75,11 @@
   void OnEndOfStream(ErrorCode aError);
   void FinishResponse();
   void Finish(ExchangeResult&& aResult);
+  /// Ends the exchange as Unusable and closes the connection.
+  void Abandon(const char* aCause);
+  /// Whether the response is beyond the limits that no valid one reaches.
+  bool IsEndless() const;
+  void ReleaseBytes();
   void ResetParser();
   void BecomeIdle();
 
@@ -89,6 +96,8 @@
   /// Writing has started, so the server may have received the request.
   bool mayHaveSent = false;
   size_t strayResponses = 0;
+  size_t interimResponses = 0;
+  uint64_t exchangeBytes = 0;
   base::Instant idleSince{};
   base::Instant usableUntil{};
 };
--- a/libs/engine/src/HttpServer.cpp
+++ b/libs/engine/src/HttpServer.cpp
@@ -7,6 +7,8 @@
 /// Connections without a request for this long are closed; clients of these endpoints poll every
 /// few seconds.
 constexpr base::Duration kIdleTimeout = std::chrono::seconds(30);
+/// Limit on the bytes of a request that are read and not parsed yet; requests are small.
+constexpr size_t kMaxUnparsedBytes = 64 * 1024;
 
 /// One connection; requests are answered sequentially.
 class HttpServerSession : public std::enable_shared_from_this<HttpServerSession>
@@ -17,6 +19,7 @@
     , socket(std::move(aSocket))
     , timer(aLoop)
   {
+    this->buffer.max_size(kMaxUnparsedBytes);
   }
 
   void Read()
--- a/libs/engine/src/StoreConnection.cpp
+++ b/libs/engine/src/StoreConnection.cpp
@@ -6,8 +6,12 @@
 
 namespace {
 
-/// A page of a list holds about 1 MB, a configuration at most as much.
+/// Limit on an answer, with its framing: a page of a list holds about 1 MB, a configuration at most
+/// as much.
 constexpr uint64_t kMaxAnswerBytes = 16 * 1024 * 1024;
+/// Limit on the bytes read and not parsed yet, which bounds a chunk's extensions and trailers. The
+/// parser limits the header and the body itself.
+constexpr size_t kMaxUnparsedBytes = 128 * 1024;
 
 } // namespace
 
@@ -32,6 +36,7 @@
     exchange->request.set(http::field::content_type, "application/json");
   }
   exchange->request.prepare_payload();
+  exchange->buffer.max_size(kMaxUnparsedBytes);
   exchange->parser.body_limit(kMaxAnswerBytes);
   auto self = this->shared_from_this();
   this->timer.expires_after(aCall.timeout);
@@ -74,16 +79,37 @@
         self->Fail(aNumber, "write failed");
         return;
       }
-      http::async_read(*currentSocket,
-                       aExchange->buffer,
-                       aExchange->parser,
-                       [self, aExchange, aNumber, currentSocket](ErrorCode aReadError, size_t) {
-                         if (aReadError) {
-                           self->Fail(aNumber, "response incomplete");
-                           return;
-                         }
-                         self->Finish(aNumber, aExchange->parser.release());
-                       });
+      if (aNumber == self->number) {
+        self->Receive(aExchange, aNumber);
+      }
+    });
+}
+
+void
+StoreConnection::Receive(const std::shared_ptr<Exchange>& aExchange, uint64_t aNumber)
+{
+  auto self = this->shared_from_this();
+  http::async_read_some(
+    *this->socket,
+    aExchange->buffer,
+    aExchange->parser,
+    [self, aExchange, aNumber, currentSocket = this->socket](ErrorCode aError, size_t aCount) {
+      aExchange->received += aCount;
+      if (aError) {
+        self->Fail(aNumber, "response incomplete");
+        return;
+      }
+      if (aExchange->parser.is_done()) {
+        self->Finish(aNumber, aExchange->parser.release());
+        return;
+      }
+      if (aExchange->received > kMaxAnswerBytes) {
+        self->Fail(aNumber, "response too long");
+        return;
+      }
+      if (aNumber == self->number) {
+        self->Receive(aExchange, aNumber);
+      }
     });
 }
 
--- a/libs/engine/src/UpstreamConnection.cpp
+++ b/libs/engine/src/UpstreamConnection.cpp
@@ -12,6 +12,17 @@
 constexpr uint64_t kMaxResponseBytes = 8 * 1024 * 1024;
 constexpr uint32_t kMaxHeaderBytes = 32 * 1024;
 constexpr size_t kReadBufferBytes = 16 * 1024;
+/// Limit on the bytes of a response that are read and not parsed yet. The parser limits the header
+/// itself, but waits for the end of a chunk's extensions or trailers however long they are.
+constexpr size_t kMaxUnparsedBytes = kMaxHeaderBytes + kReadBufferBytes;
+/// Limit on all bytes read for one request, with framing, interim responses and stray responses.
+constexpr uint64_t kMaxExchangeBytes = kMaxResponseBytes + kMaxHeaderBytes;
+/// Limit on the bytes of all responses in progress, a third of the memory of a small machine.
+/// Beyond it, connections whose response is larger than kFairResponseBytes are closed.
+constexpr uint64_t kMaxBufferedBytes = 48 * 1024 * 1024;
+constexpr uint64_t kFairResponseBytes = 256 * 1024;
+/// Interim (1xx) responses that are skipped before the connection is closed.
+constexpr size_t kMaxInterimResponses = 8;
 /// Responses to other requests that are skipped before the connection is closed.
 constexpr size_t kMaxStrayResponses = 2;
 /// Keep-alive timeout assumed when the response states none.
@@ -57,6 +68,7 @@
   this->requestWritten = false;
   this->mayHaveSent = false;
   this->strayResponses = 0;
+  this->interimResponses = 0;
   if (this->state == State::Unconnected) {
     this->Connect();
   } else {
@@ -123,6 +135,8 @@
                                    return;
                                  }
                                  self->buffer.commit(aCount);
+                                 self->exchangeBytes += aCount;
+                                 *self->options.bufferedBytes += aCount;
                                  if (aError) {
                                    self->OnEndOfStream(aError);
                                    return;
@@ -143,9 +157,34 @@
   }
   while (this->state == State::Busy && this->buffer.size() > 0) {
     if (!this->ParseResponse()) {
-      return;
+      break;
     }
   }
+  if (this->state == State::Busy && this->IsEndless()) {
+    this->Abandon("response without end");
+  }
+}
+
+bool
+UpstreamConnection::IsEndless() const
+{
+  bool memoryShort = *this->options.bufferedBytes > kMaxBufferedBytes;
+  return this->buffer.size() > kMaxUnparsedBytes || this->exchangeBytes > kMaxExchangeBytes ||
+         (memoryShort && this->exchangeBytes > kFairResponseBytes);
+}
+
+void
+UpstreamConnection::ReleaseBytes()
+{
+  *this->options.bufferedBytes -= this->exchangeBytes;
+  this->exchangeBytes = 0;
+}
+
+void
+UpstreamConnection::Abandon(const char* aCause)
+{
+  this->Finish(ExchangeResult{ .outcome = dispatch::AttemptOutcome::Unusable, .cause = aCause });
+  this->Close(aCause);
 }
 
 bool
@@ -158,9 +197,7 @@
     return false;
   }
   if (error) {
-    this->Finish(ExchangeResult{ .outcome = dispatch::AttemptOutcome::Unusable,
-                                 .cause = "malformed response" });
-    this->Close("malformed response");
+    this->Abandon("malformed response");
     return false;
   }
   if (this->parser->is_done()) {
@@ -190,6 +227,10 @@
 {
   HttpResponse response = this->parser->release();
   if (response.result_int() < 200) {
+    if (++this->interimResponses > kMaxInterimResponses) {
+      this->Abandon("too many interim responses");
+      return;
+    }
     this->ResetParser();
     return;
   }
@@ -241,6 +282,7 @@
 {
   this->state = State::Idle;
   this->idleSince = base::Now();
+  this->ReleaseBytes();
   this->request.reset();
   this->options.onIdle(this->shared_from_this());
 }
@@ -263,6 +305,7 @@
   }
   auto self = this->shared_from_this();
   this->state = State::Closed;
+  this->ReleaseBytes();
   this->connectTimer.cancel();
   ErrorCode ignored; // The connection is discarded even if closing fails.
   this->socket.close(ignored);
