Prefer the own region by a margin, and believe the reported pace for a moment

The pace that servers report with their load scales the expected time and decays with a half-life of 300 ms; the server's own slowdown is learnt from what the pace doesn't explain. Also wires the count of buffered bytes through the pool.

--- a/libs/dispatch/include/dispatch/Upstream.h
+++ b/libs/dispatch/include/dispatch/Upstream.h
@@ -38,6 +38,8 @@
 {
   /// Network round-trip time.
   base::Duration roundTrip{ 0 };
+  /// Whether the server is in another region, where traffic is charged.
+  bool isRemote = false;
   unsigned slots = 1;
   /// Maximum number of connections from this instance to the server.
   unsigned maxInFlight = 1;
@@ -51,6 +53,10 @@
   /// report.
   unsigned reportedLoad = 0;
   base::Instant reportedAt{};
+  /// The reported ratio of the time that work takes on the server's machine to the usual, and the
+  /// time of that report.
+  double reportedSlowdown = 1.0;
+  base::Instant reportedSlowdownAt{};
   /// Moving average of the fraction of requests that the server refused or failed.
   double failureRate = 0.0;
   base::Instant failureRateAt{};
@@ -64,6 +70,8 @@
   unsigned running = 0;
   unsigned waiting = 0;
   unsigned slots = 0;
+  /// How long work takes on the server's machine at the moment, in percent of the usual.
+  std::optional<unsigned> workPercent;
 
   auto operator<=>(const LoadReport&) const = default;
 };
@@ -75,6 +83,9 @@
 /// Latency equivalent of a failed attempt: the time to detect the failure, and a retry from a
 /// budget that other requests share.
 constexpr base::Duration kFailurePenalty = std::chrono::milliseconds(150);
+/// A reported slowdown decays towards 1 with this half-life: machines change their pace many times
+/// a second.
+constexpr base::Duration kReportedSlowdownHalfLife = std::chrono::milliseconds(300);
 /// A load report is ignored after this time, which is a few service times.
 constexpr base::Duration kLoadReportLifetime = std::chrono::milliseconds(100);
 /// Duration of the first ejection. Each further consecutive failure doubles it, up to the maximum.
--- a/libs/dispatch/src/Upstream.cpp
+++ b/libs/dispatch/src/Upstream.cpp
@@ -24,6 +24,12 @@
 /// Maximum random increase of a cost, as a fraction, which spreads requests over equal servers.
 constexpr double kCostJitter = 0.1;
 constexpr unsigned kEjectionThreshold = 2;
+/// A server in another region is selected only if it is expected to be faster by this multiple of
+/// its round-trip time, as traffic between regions is charged and its delay varies.
+constexpr double kRemoteMargin = 2.0;
+/// Bounds on the reported slowdown that is believed.
+constexpr double kMinReportedSlowdown = 0.5;
+constexpr double kMaxReportedSlowdown = 10.0;
 
 base::Duration
 Scale(base::Duration aDuration, double aFactor)
@@ -33,10 +39,12 @@
 
 /// Fraction that remains of a value's deviation since its last update.
 double
-DecayFactor(base::Instant aUpdatedAt, base::Instant aNow)
+DecayFactor(base::Instant aUpdatedAt,
+            base::Instant aNow,
+            base::Duration aHalfLife = kSlowdownHalfLife)
 {
-  double halfLives = static_cast<double>((aNow - aUpdatedAt).count()) /
-                     static_cast<double>(kSlowdownHalfLife.count());
+  double halfLives =
+    static_cast<double>((aNow - aUpdatedAt).count()) / static_cast<double>(aHalfLife.count());
   return std::exp2(-std::max(0.0, halfLives));
 }
 
@@ -47,6 +55,14 @@
   return aNow < aUpstream.coldUntil ? std::max(decayed, kColdStartSlowdown) : decayed;
 }
 
+/// The slowdown of the server's machine at the moment, as far as its last report still tells it.
+double
+CurrentReportedSlowdown(const Upstream& aUpstream, base::Instant aNow)
+{
+  double remaining = DecayFactor(aUpstream.reportedSlowdownAt, aNow, kReportedSlowdownHalfLife);
+  return 1.0 + (aUpstream.reportedSlowdown - 1.0) * remaining;
+}
+
 /// Overdue time of the most overdue request. It is added to the expected latency on the assumption
 /// that a stall lasts as long again as it has lasted so far.
 base::Duration
@@ -83,12 +99,14 @@
   aUpstream.failureRateAt = aNow;
 }
 
-/// Cost of sending a request to the server: the expected latency and the risk of a failure.
+/// Cost of sending a request to the server: the expected latency, the risk of a failure and the
+/// margin for another region.
 base::Duration
 ExpectedCost(const Upstream& aUpstream, const ServiceTimeEstimate& aServiceTime, base::Instant aNow)
 {
   return ExpectedLatency(aUpstream, aServiceTime, aNow) +
-         Scale(kFailurePenalty, CurrentFailureRate(aUpstream, aNow));
+         Scale(kFailurePenalty, CurrentFailureRate(aUpstream, aNow)) +
+         (aUpstream.isRemote ? Scale(aUpstream.roundTrip, kRemoteMargin) : base::Duration(0));
 }
 
 void
@@ -128,7 +146,8 @@
   size_t slots = std::max(1U, aUpstream.slots);
   double queued = load < slots ? 0.0 : static_cast<double>(load - slots + 1);
   double rounds = 1.0 + queued / static_cast<double>(slots);
-  base::Duration service = Scale(aServiceTime.mean, CurrentSlowdown(aUpstream, aNow) * rounds);
+  double slowdown = CurrentSlowdown(aUpstream, aNow) * CurrentReportedSlowdown(aUpstream, aNow);
+  base::Duration service = Scale(aServiceTime.mean, slowdown * rounds);
   return aUpstream.roundTrip + service + LongestOverdue(aUpstream, aNow);
 }
 
@@ -198,7 +217,9 @@
     std::max<base::Duration>(aNow - request->sentAt - aUpstream.roundTrip, base::Duration(100));
   double expected = static_cast<double>(aServiceTime.mean.count());
   if (aServiceTime.samples > 0) {
-    UpdateSlowdown(aUpstream, static_cast<double>(service.count()) / expected, aNow);
+    // The momentary pace is reported with the answer; what remains is the server's own.
+    double pace = CurrentReportedSlowdown(aUpstream, aNow);
+    UpdateSlowdown(aUpstream, static_cast<double>(service.count()) / (expected * pace), aNow);
   }
   UpdateServiceTime(aServiceTime, service);
 }
@@ -254,6 +275,11 @@
   if (aReport.slots > 0) {
     aUpstream.slots = aReport.slots;
   }
+  if (aReport.workPercent) {
+    aUpstream.reportedSlowdown =
+      std::clamp(*aReport.workPercent / 100.0, kMinReportedSlowdown, kMaxReportedSlowdown);
+    aUpstream.reportedSlowdownAt = aNow;
+  }
 }
 
 } // namespace sapphirewind::dispatch
--- a/libs/dispatch/test/UpstreamTest.cpp
+++ b/libs/dispatch/test/UpstreamTest.cpp
@@ -66,6 +66,52 @@
   BOOST_TEST(!service.Choose(kStart).has_value());
 }
 
+BOOST_AUTO_TEST_SUITE(between_regions)
+
+BOOST_AUTO_TEST_CASE(stays_in_the_region_unless_the_other_is_faster_by_its_distance)
+{
+  Service service;
+  service.far.isRemote = true;
+  service.near.coldUntil = kStart + 10s;
+  // Both margins are multiples of the far server's round trip of 40 ms.
+  service.near.roundTrip = 60ms;
+  BOOST_TEST(service.ChoosesNear(kStart));
+  service.near.roundTrip = 200ms;
+  BOOST_TEST(!service.ChoosesNear(kStart));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(by_the_reported_pace_of_a_servers_machine)
+
+BOOST_AUTO_TEST_CASE(avoids_a_server_whose_machine_is_slow_at_the_moment)
+{
+  Service service;
+  service.far.roundTrip = 2ms;
+  OnLoadReport(service.near, { .slots = 3, .workPercent = 250 }, kStart);
+  BOOST_TEST(!service.ChoosesNear(kStart + 10ms));
+  BOOST_TEST(service.ChoosesNear(kStart + 10 * kReportedSlowdownHalfLife));
+}
+
+BOOST_AUTO_TEST_CASE(does_not_count_a_slow_answer_twice)
+{
+  Service service;
+  OnLoadReport(service.near, { .slots = 3, .workPercent = 300 }, kStart);
+  RecordAnswer(service.near, service.serviceTime, 46ms, kStart);
+  BOOST_TEST(service.near.slowdown < 1.05);
+}
+
+BOOST_AUTO_TEST_CASE(believes_only_a_plausible_pace)
+{
+  Service service;
+  OnLoadReport(service.near, { .slots = 3, .workPercent = 4000000000U }, kStart);
+  BOOST_TEST((ExpectedLatency(service.near, kServiceTime, kStart) < 200ms));
+  OnLoadReport(service.near, { .slots = 3, .workPercent = 0 }, kStart);
+  BOOST_TEST((ExpectedLatency(service.near, kServiceTime, kStart) > 5ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(while_the_nearby_server_stalls)
 
 BOOST_AUTO_TEST_CASE(avoids_it_once_a_request_is_overdue)
--- a/libs/engine/include/engine/UpstreamPool.h
+++ b/libs/engine/include/engine/UpstreamPool.h
@@ -92,6 +92,7 @@
   std::unordered_map<std::string, std::shared_ptr<dispatch::ServiceTimeEstimate>> serviceTimes;
   std::unordered_map<std::string, routing::AttemptBudget> budgets;
   std::unordered_map<std::string, dispatch::SplitState> splits;
+  std::shared_ptr<uint64_t> bufferedBytes = std::make_shared<uint64_t>(0);
 };
 
 } // namespace sapphirewind::engine
--- a/libs/engine/include/engine/UpstreamServer.h
+++ b/libs/engine/include/engine/UpstreamServer.h
@@ -36,6 +36,7 @@
   friend class UpstreamServer;
   void End(ExchangeResult&& aResult);
   void RecordOutcome(const ExchangeResult& aResult);
+  void RecordLoad(const ExchangeResult& aResult, base::Instant aNow);
 
   std::shared_ptr<UpstreamServer> server;
   std::shared_ptr<dispatch::ServiceTimeEstimate> serviceTime;
@@ -59,6 +60,10 @@
     Tcp::endpoint endpoint;
     /// Round-trip time used until one is measured.
     base::Duration assumedRoundTrip{ 0 };
+    /// The server is in another region than this instance.
+    bool isRemote = false;
+    /// The bytes that all connections of the instance hold for responses in progress.
+    std::shared_ptr<uint64_t> bufferedBytes = std::make_shared<uint64_t>(0);
   };
 
   explicit UpstreamServer(Options aOptions);
--- a/libs/engine/src/UpstreamPool.cpp
+++ b/libs/engine/src/UpstreamPool.cpp
@@ -74,12 +74,14 @@
                    { { "object", aServer.id }, { "why", "invalid address: " + aServer.address } });
     return nullptr;
   }
-  return std::make_shared<UpstreamServer>(
-    UpstreamServer::Options{ .loop = this->options.loop,
-                             .codec = this->options.codec,
-                             .server = aServer,
-                             .endpoint = *endpoint,
-                             .assumedRoundTrip = this->AssumedRoundTrip(aServer.zone) });
+  return std::make_shared<UpstreamServer>(UpstreamServer::Options{
+    .loop = this->options.loop,
+    .codec = this->options.codec,
+    .server = aServer,
+    .endpoint = *endpoint,
+    .assumedRoundTrip = this->AssumedRoundTrip(aServer.zone),
+    .isRemote = this->RegionOf(aServer.zone) != this->RegionOf(this->options.zone),
+    .bufferedBytes = this->bufferedBytes });
 }
 
 void
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -94,19 +94,19 @@
   dispatch::Upstream& state = this->server->State();
   base::Instant now = base::Now();
   bool wasEjected = dispatch::IsEjected(state, now);
-  switch (aResult.outcome) {
-    case dispatch::AttemptOutcome::Answered:
-      dispatch::OnAnswered(state, *this->serviceTime, this->number, now);
-      break;
-    case dispatch::AttemptOutcome::NotExecuted:
-      dispatch::OnRefused(state, this->number, now);
-      break;
-    case dispatch::AttemptOutcome::ServerError:
-    case dispatch::AttemptOutcome::NotConnected:
-    case dispatch::AttemptOutcome::Lost:
-    case dispatch::AttemptOutcome::Unusable:
-      dispatch::OnFailed(state, this->number, now);
-      break;
+  // The report of an answer tells the pace at which the answer was made; that of a refusal corrects
+  // the queue that a refusal implies.
+  bool answered = aResult.outcome == dispatch::AttemptOutcome::Answered;
+  if (answered) {
+    this->RecordLoad(aResult, now);
+    dispatch::OnAnswered(state, *this->serviceTime, this->number, now);
+  } else if (aResult.outcome == dispatch::AttemptOutcome::NotExecuted) {
+    dispatch::OnRefused(state, this->number, now);
+  } else {
+    dispatch::OnFailed(state, this->number, now);
+  }
+  if (!answered) {
+    this->RecordLoad(aResult, now);
   }
   if (!wasEjected && dispatch::IsEjected(state, now)) {
     telemetry::Log(telemetry::Event::ServerEjected,
@@ -116,9 +116,6 @@
                      { "for_ms", base::ToMillis(state.ejectedUntil - now) },
                      { "why", dispatch::NameOf(aResult.outcome) } });
   }
-  if (aResult.meta.load) {
-    dispatch::OnLoadReport(state, *aResult.meta.load, now);
-  }
   if (aResult.misdirected) {
     telemetry::Log(telemetry::Event::ServerLeaving,
                    { { "server", this->server->Description().id },
@@ -127,10 +124,19 @@
   }
 }
 
+void
+Attempt::RecordLoad(const ExchangeResult& aResult, base::Instant aNow)
+{
+  if (aResult.meta.load) {
+    dispatch::OnLoadReport(this->server->State(), *aResult.meta.load, aNow);
+  }
+}
+
 UpstreamServer::UpstreamServer(Options aOptions)
   : options(std::move(aOptions))
 {
   this->state.roundTrip = this->options.assumedRoundTrip;
+  this->state.isRemote = this->options.isRemote;
   this->state.slots = std::max(1U, this->options.server.slots);
   this->state.draining = this->options.server.draining;
   this->state.coldUntil = base::Now() + this->options.server.coldRemaining;
@@ -200,7 +206,8 @@
                                      if (auto self = weak.lock()) {
                                        self->RecordRoundTrip(aTook);
                                      }
-                                   } });
+                                   },
+                                 .bufferedBytes = this->options.bufferedBytes });
 }
 
 void
