Ask whether a request may still be sent once its connection stands

Now the epoch of the decision is checked again before the body is written; a request without its body cannot run. Ruled out: the dispatch after the pause (its epoch is checked before the connect). Tests: withholds_a_request_that_may_not_be_sent_any_more_once_it_is_connected, holds_back_what_was_decided_before_even_if_nothing_has_noticed_the_pause_yet. What stays is a pause between the check and the write itself.

--- a/libs/net/include/net/Connection.h
+++ b/libs/net/include/net/Connection.h
@@ -30,7 +30,8 @@
   Connection& operator=(const Connection&) = delete;
 
   /// Sends a request once and waits for the complete response.
-  /// Errors: ConnectFailed (nothing was sent), ConnectionLost, TimedOut, Aborted.
+  /// Errors: ConnectFailed (nothing was sent), Withheld (not run), ConnectionLost, TimedOut,
+  /// Aborted.
   base::Result<Response> Send(const Request& aRequest, base::Duration aTimeout);
 
   /// Aborts the running request and closes the connection.
--- a/libs/net/include/net/Message.h
+++ b/libs/net/include/net/Message.h
@@ -3,6 +3,7 @@
 
 #include <base/ErrorCategory.h>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -43,6 +44,10 @@
   std::string body;
   std::vector<Header> headers;
   std::vector<Header> parameters;
+  /// For clients: asked once the connection stands, before the body is sent. If it returns false,
+  /// the body is withheld, so that the server cannot run the request. Only for requests with a
+  /// body.
+  std::function<bool()> mayStillSend;
 
   /// The value of the first header with that name, ignoring case; empty if absent.
   std::string HeaderValue(std::string_view aName) const;
@@ -69,13 +74,14 @@
   ConnectionLost,    ///< The connection was lost after data may have been sent.
   TimedOut,          ///< No complete response within the timeout; the request may have run.
   Aborted,           ///< The client aborted the request.
+  Withheld,          ///< mayStillSend returned false; the server cannot have run the request.
   CannotListen,      ///< The server could not bind its address.
 };
 
 std::error_code
 make_error_code(Errc aError);
 
-/// Whether the error proves that no data of the request was sent.
+/// Whether the error proves that the server cannot have run the request.
 bool
 FailedBeforeSending(const std::error_code& aCode);
 
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -10,19 +10,28 @@
 constexpr base::Duration kMinTimeout = std::chrono::milliseconds(1);
 constexpr base::Duration kTimeoutSlack = std::chrono::milliseconds(5);
 
+/// The result refers to aRequest.
 httplib::Request
 ToHttplib(const Request& aRequest)
 {
   httplib::Request request;
   request.method = aRequest.method;
   request.path = aRequest.path;
-  request.body = aRequest.body;
   for (const Header& header : aRequest.headers) {
     request.headers.emplace(header.name, header.value);
   }
   if (!aRequest.body.empty() || aRequest.method != "GET") {
     request.headers.emplace("Content-Type", "application/json");
   }
+  if (!aRequest.mayStillSend) {
+    request.body = aRequest.body;
+    return request;
+  }
+  request.content_length_ = aRequest.body.size();
+  request.content_provider_ =
+    [&aRequest](size_t aOffset, size_t aLength, httplib::DataSink& aSink) {
+      return aRequest.mayStillSend() && aSink.write(aRequest.body.data() + aOffset, aLength);
+    };
   return request;
 }
 
@@ -93,6 +102,9 @@
   if (this->aborted) {
     return base::Failure{ .code = Errc::Aborted, .detail = detail };
   }
+  if (result.error() == httplib::Error::Canceled) {
+    return base::Failure{ .code = Errc::Withheld, .detail = detail };
+  }
   // The library's timeout may end slightly early, hence the slack.
   bool late = this->lastUsed - started + kTimeoutSlack >= timeout;
   return base::Failure{ .code = late ? Errc::TimedOut : Errc::ConnectionLost, .detail = detail };
--- a/libs/net/src/Message.cpp
+++ b/libs/net/src/Message.cpp
@@ -20,6 +20,8 @@
       return "the response was not complete within the timeout";
     case Errc::Aborted:
       return "the request was aborted";
+    case Errc::Withheld:
+      return "the request was withheld once the connection stood";
     case Errc::CannotListen:
       return "cannot listen on the address";
   }
@@ -58,7 +60,7 @@
 bool
 FailedBeforeSending(const std::error_code& aCode)
 {
-  return aCode == Errc::ConnectFailed;
+  return aCode == Errc::ConnectFailed || aCode == Errc::Withheld;
 }
 
 bool
--- a/libs/tier/include/tier/PauseGuard.h
+++ b/libs/tier/include/tier/PauseGuard.h
@@ -41,6 +41,9 @@
   /// at most kMaxRefreshWait, and returns true: decisions made before the call must be made again.
   bool WaitForRefresh();
 
+  /// Whether a decision made under an epoch still holds: there was no pause since. Does not wait.
+  bool IsCurrent(uint64_t aEpoch, base::Instant aNow);
+
   /// The number of pauses detected. Decisions made under another epoch must be made again.
   uint64_t Epoch() const { return this->epoch; }
 
@@ -48,6 +51,10 @@
   bool IsStale() const;
 
 private:
+  /// Ticks if a pause has not been noticed yet: after it, a dispatching thread may run before the
+  /// ticking one.
+  void NoticePause(base::Instant aNow);
+
   std::atomic<int64_t> lastTick;
   mutable std::mutex mutex;
   std::condition_variable changed;
--- a/libs/tier/include/tier/Upstream.h
+++ b/libs/tier/include/tier/Upstream.h
@@ -51,19 +51,22 @@
   std::optional<double> load;
 };
 
-/// Sends a search and waits for the answer.
+/// Sends a search and waits for the answer. aMayStillSend is asked before the request's body is
+/// sent; if it returns false, the outcome is NotSent.
 AttemptResult
 SendSearch(net::Connection& aConnection,
            const model::AttemptRequest& aRequest,
-           base::Duration aTimeout);
+           base::Duration aTimeout,
+           std::function<bool()> aMayStillSend);
 
 /// Sends a booking and waits for the answer. The connection must be new, so that a failure to
-/// connect proves that nothing was sent.
+/// connect proves that nothing was sent. aMayStillSend as for SendSearch.
 AttemptResult
 SendBooking(net::Connection& aConnection,
             const model::BookingTask& aTask,
             const std::string& aAttemptId,
-            base::Duration aTimeout);
+            base::Duration aTimeout,
+            std::function<bool()> aMayStillSend);
 
 /// Sends a request to cancel an attempt, whose answer is no longer needed.
 void
--- a/libs/tier/src/Cell.cpp
+++ b/libs/tier/src/Cell.cpp
@@ -388,10 +388,15 @@
                           .detail = "deadline passed before sending" };
   }
   net::Connection& connection = *aDispatch.attempt->connection;
+  // The process may also be paused while it connects.
+  auto mayStillSend = [this, epoch = aDispatch.epoch] {
+    return this->context.pauseGuard.IsCurrent(epoch, base::Now());
+  };
   AttemptResult result =
     aDispatch.task->booking
-      ? SendBooking(connection, aDispatch.task->booking->task, aDispatch.attempt->id, remaining)
-      : SendSearch(connection, aDispatch.request, remaining);
+      ? SendBooking(
+          connection, aDispatch.task->booking->task, aDispatch.attempt->id, remaining, mayStillSend)
+      : SendSearch(connection, aDispatch.request, remaining, mayStillSend);
   if (result.outcome == AttemptOutcome::Aborted) {
     // The slot stays occupied until the server has received the cancellation.
     ++this->context.counters.cancelled;
--- a/libs/tier/src/PauseGuard.cpp
+++ b/libs/tier/src/PauseGuard.cpp
@@ -45,15 +45,25 @@
   return this->stale;
 }
 
+void
+PauseGuard::NoticePause(base::Instant aNow)
+{
+  if (aNow.time_since_epoch().count() - this->lastTick.load() >= kPauseThreshold.count()) {
+    this->Tick(aNow);
+  }
+}
+
+bool
+PauseGuard::IsCurrent(uint64_t aEpoch, base::Instant aNow)
+{
+  this->NoticePause(aNow);
+  return this->epoch == aEpoch;
+}
+
 bool
 PauseGuard::WaitForRefresh()
 {
-  // After a pause the dispatching thread may be scheduled before the ticking one, so it checks the
-  // gap itself.
-  base::Instant now = base::Now();
-  if (now.time_since_epoch().count() - this->lastTick.load() >= kPauseThreshold.count()) {
-    this->Tick(now);
-  }
+  this->NoticePause(base::Now());
   if (!this->stale) {
     return false;
   }
--- a/libs/tier/src/Upstream.cpp
+++ b/libs/tier/src/Upstream.cpp
@@ -13,6 +13,9 @@
 AttemptOutcome
 OutcomeOfFailure(const std::error_code& aCode)
 {
+  if (aCode == net::Errc::Withheld) {
+    return AttemptOutcome::NotSent;
+  }
   if (net::FailedBeforeSending(aCode)) {
     return AttemptOutcome::ConnectFailed;
   }
@@ -107,10 +110,12 @@
 AttemptResult
 SendSearch(net::Connection& aConnection,
            const model::AttemptRequest& aRequest,
-           base::Duration aTimeout)
+           base::Duration aTimeout,
+           std::function<bool()> aMayStillSend)
 {
   base::Instant started = base::Now();
   net::Request request = MakePost("/v1/query", model::ToJson(aRequest), aRequest.remaining);
+  request.mayStillSend = std::move(aMayStillSend);
   base::Result<net::Response> response = aConnection.Send(request, aTimeout);
   AttemptResult result = ResultFrom(response, started);
   if (result.outcome != AttemptOutcome::Answered) {
@@ -133,7 +138,8 @@
 SendBooking(net::Connection& aConnection,
             const model::BookingTask& aTask,
             const std::string& aAttemptId,
-            base::Duration aTimeout)
+            base::Duration aTimeout,
+            std::function<bool()> aMayStillSend)
 {
   Json::Value body;
   body["attempt"] = aAttemptId;
@@ -141,8 +147,9 @@
   body["key"] = aTask.key;
   body["body"] = aTask.body;
   base::Instant started = base::Now();
-  base::Result<net::Response> response =
-    aConnection.Send(MakePost("/v1/book", body, aTask.remaining), aTimeout);
+  net::Request request = MakePost("/v1/book", body, aTask.remaining);
+  request.mayStillSend = std::move(aMayStillSend);
+  base::Result<net::Response> response = aConnection.Send(request, aTimeout);
   AttemptResult result = ResultFrom(response, started);
   if (result.outcome != AttemptOutcome::Answered) {
     return result;
--- a/test/inprocess/HttpTest.cpp
+++ b/test/inprocess/HttpTest.cpp
@@ -58,6 +58,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(withholds_a_request_that_may_not_be_sent_any_more_once_it_is_connected)
+{
+  std::atomic<int> received{ 0 };
+  net::Server server(net::ServerOptions{ .listen = Loopback(0) });
+  server.Route("POST", "/run", [&](const net::Request&) {
+    ++received;
+    return net::Response{};
+  });
+  BOOST_REQUIRE(!server.Start());
+  bool mayStillSend = true;
+  net::Request request{ .method = "POST", .path = "/run", .body = "{}" };
+  request.mayStillSend = [&] { return mayStillSend; };
+  for (bool reused : { false, true }) {
+    received = 0;
+    mayStillSend = true;
+    net::Connection connection(Loopback(server.Port()), net::ConnectionOptions{});
+    if (reused) {
+      BOOST_REQUIRE(connection.Send(request, 1s));
+      BOOST_TEST(received == 1);
+    }
+    int receivedBefore = received;
+    mayStillSend = false;
+    base::Result<net::Response> response = connection.Send(request, 1s);
+    BOOST_REQUIRE(!response);
+    BOOST_TEST((response.Error().code == net::Errc::Withheld));
+    BOOST_TEST(!connection.IsReusable());
+    std::this_thread::sleep_for(50ms);
+    BOOST_TEST(received == receivedBefore);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(to_a_closed_port_proves_that_nothing_was_sent)
 {
   net::Connection connection(Loopback(1), net::ConnectionOptions{});
@@ -234,4 +265,14 @@
   BOOST_TEST(pauseGuard.Epoch() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(holds_back_what_was_decided_before_even_if_nothing_has_noticed_the_pause_yet)
+{
+  base::Instant start = base::Now();
+  tier::PauseGuard pauseGuard(start);
+  uint64_t epoch = pauseGuard.Epoch();
+  BOOST_TEST(pauseGuard.IsCurrent(epoch, start + 1s));
+  BOOST_TEST(!pauseGuard.IsCurrent(epoch, start + 5s));
+  BOOST_TEST(pauseGuard.IsCurrent(pauseGuard.Epoch(), start + 5s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
