--- a/libs/directory/include/directory/InstanceTracker.h
+++ b/libs/directory/include/directory/InstanceTracker.h
@@ -18,6 +18,10 @@
 /// Minimum time between two heartbeats over all instances together, so that the load on the store
 /// does not grow with the number of instances.
 constexpr base::Duration kHeartbeatSpacing = std::chrono::milliseconds(500);
+/// How often an instance lists the entries of the others: less often the more they are, as the
+/// length of the list grows with them too.
+constexpr base::Duration kMinListInterval = std::chrono::seconds(6);
+constexpr base::Duration kListSpacing = std::chrono::milliseconds(70);
 /// An instance whose entry did not change for this many heartbeat intervals is considered dead.
 constexpr int kMissedHeartbeatLimit = 3;
 /// An entry without heartbeats is removed after this time, which exceeds any outage that stops
@@ -53,6 +57,10 @@
 base::Duration
 HeartbeatInterval(size_t aInstances);
 
+/// Interval between two lists of the entries for a given number of instances.
+base::Duration
+ListInterval(size_t aInstances);
+
 size_t
 CountLive(const InstanceTracker& aTracker, base::Instant aNow);
 
@@ -64,18 +72,6 @@
 std::map<std::string, size_t>
 CountByRegion(const InstanceTracker& aTracker, base::Instant aNow);
 
-/// Selects at most aCount live instances of a region that watch the store on behalf of the others
-/// there. All instances that see the same entries select the same ones. Empty if the region has no
-/// more than kMaxDirectWatchers live instances, so that each watches the store itself.
-std::vector<InstanceEntry>
-ChooseMirrors(const InstanceTracker& aTracker,
-              const std::string& aRegion,
-              size_t aCount,
-              base::Instant aNow);
-
-/// Number of instances in a region up to which each watches the store itself.
-constexpr size_t kMaxDirectWatchers = 4;
-
 /// Extracts expired entries, which the caller is to remove from the store.
 std::vector<std::string>
 ExtractExpired(InstanceTracker& aTracker, base::Instant aNow);
--- a/libs/directory/src/InstanceTracker.cpp
+++ b/libs/directory/src/InstanceTracker.cpp
@@ -1,7 +1,6 @@
 #include <directory/InstanceTracker.h>
 
 #include <algorithm>
-#include <base/Random.h>
 
 namespace sapphirewind::directory {
 
@@ -34,6 +33,13 @@
                                   kHeartbeatSpacing * static_cast<int64_t>(aInstances));
 }
 
+base::Duration
+ListInterval(size_t aInstances)
+{
+  return std::max<base::Duration>(kMinListInterval,
+                                  kListSpacing * static_cast<int64_t>(aInstances));
+}
+
 size_t
 CountLive(const InstanceTracker& aTracker, base::Instant aNow)
 {
@@ -62,30 +68,6 @@
   return counts;
 }
 
-std::vector<InstanceEntry>
-ChooseMirrors(const InstanceTracker& aTracker,
-              const std::string& aRegion,
-              size_t aCount,
-              base::Instant aNow)
-{
-  std::vector<InstanceEntry> mirrors;
-  for (const InstanceEntry& entry : ListLive(aTracker, aNow)) {
-    bool reachable = entry.region == aRegion && !entry.address.empty();
-    if (reachable) {
-      mirrors.push_back(entry);
-    }
-  }
-  if (mirrors.size() <= kMaxDirectWatchers) {
-    return {};
-  }
-  std::sort(mirrors.begin(), mirrors.end(), [](const auto& aLeft, const auto& aRight) {
-    return std::pair(base::Hash64(aLeft.name), aLeft.name) <
-           std::pair(base::Hash64(aRight.name), aRight.name);
-  });
-  mirrors.resize(std::min(aCount, mirrors.size()));
-  return mirrors;
-}
-
 std::vector<std::string>
 ExtractExpired(InstanceTracker& aTracker, base::Instant aNow)
 {
--- a/libs/directory/test/InstanceTrackerTest.cpp
+++ b/libs/directory/test/InstanceTrackerTest.cpp
@@ -61,42 +61,10 @@
   BOOST_TEST(counts["other"] == 1U);
 }
 
-BOOST_AUTO_TEST_SUITE(choosing_mirrors)
-
-BOOST_AUTO_TEST_CASE(selects_none_while_a_region_has_few_instances)
-{
-  InstanceTracker tracker = MakeTracker(kMaxDirectWatchers);
-  BOOST_TEST(ChooseMirrors(tracker, "r", 2, kStart).empty());
-}
-
-BOOST_AUTO_TEST_CASE(is_independent_of_the_order_of_heartbeats_and_stays_in_the_region)
+BOOST_AUTO_TEST_CASE(lists_the_entries_less_often_the_more_there_are)
 {
-  InstanceTracker tracker = MakeTracker(12);
-  RecordHeartbeat(tracker, MakeEntry("elsewhere", 1, "other"), kStart);
-  auto mirrors = ChooseMirrors(tracker, "r", 2, kStart);
-  BOOST_TEST(mirrors.size() == 2U);
-  InstanceTracker reversed;
-  for (size_t index = 12; index > 0; --index) {
-    RecordHeartbeat(reversed, MakeEntry("i" + std::to_string(index - 1)), kStart);
-  }
-  BOOST_TEST((ChooseMirrors(reversed, "r", 2, kStart) == mirrors));
+  BOOST_TEST((ListInterval(6) == kMinListInterval));
+  BOOST_TEST((ListInterval(6500) == kListSpacing * 6500));
 }
 
-BOOST_AUTO_TEST_CASE(replaces_only_a_dead_mirror)
-{
-  InstanceTracker tracker = MakeTracker(12);
-  auto before = ChooseMirrors(tracker, "r", 2, kStart);
-  base::Instant later = kStart + kMinHeartbeatInterval * kMissedHeartbeatLimit;
-  for (size_t index = 0; index < 12; ++index) {
-    std::string name = "i" + std::to_string(index);
-    if (name != before[0].name) {
-      RecordHeartbeat(tracker, MakeEntry(name, 2), later);
-    }
-  }
-  auto after = ChooseMirrors(tracker, "r", 2, later);
-  BOOST_REQUIRE(after.size() == 2U);
-  BOOST_TEST(after[0].name == before[1].name);
-}
-
-BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/engine/include/engine/Metrics.h
+++ b/libs/engine/include/engine/Metrics.h
@@ -23,6 +23,9 @@
   BudgetExhausted, ///< Retries and hedges that the budget did not allow.
   StoreCall,       ///< Calls to the platform's store.
   StoreCallFailed, ///< Of these, without a usable answer.
+  StoreList,       ///< Of the calls to the store, pages of lists.
+  StoreWatch,      ///< Of these, watches.
+  StoreWrite,      ///< Of these, writes.
   PeerCall,        ///< Calls to other instances.
   PeerCallFailed   ///< Of these, without a usable answer.
 };
--- a/libs/engine/include/engine/Settings.h
+++ b/libs/engine/include/engine/Settings.h
@@ -24,6 +24,8 @@
   /// Address for other instances, which read this one's mirror of the store.
   std::string peerAddress;
   std::string storeAddress;
+  /// Whether the whole system starts for the first time, so that the store knows no instance yet.
+  bool firstStart = false;
   /// File descriptors available for connections.
   unsigned maxDescriptors = 1024;
   /// Retries and hedges to a service per window, for all instances together: as a share of its
--- a/libs/engine/include/engine/StoreConnection.h
+++ b/libs/engine/include/engine/StoreConnection.h
@@ -35,7 +35,10 @@
     http::verb method = http::verb::get;
     std::string target;
     std::string body;
+    /// Time from the connection to the complete answer.
     base::Duration timeout{ 0 };
+    /// Counts the calls to the store of this kind.
+    Counter kind = Counter::StoreWrite;
   };
 
   explicit StoreConnection(Options aOptions);
@@ -54,11 +57,13 @@
   struct Exchange
   {
     HttpRequest request;
+    base::Duration timeout{ 0 };
     Parser parser;
     boost::beast::flat_buffer buffer;
     uint64_t received = 0;
   };
 
+  void ArmTimer(base::Duration aAfter, const char* aCause);
   void Send(const std::shared_ptr<Exchange>& aExchange, uint64_t aNumber);
   void Receive(const std::shared_ptr<Exchange>& aExchange, uint64_t aNumber);
   void Fail(uint64_t aNumber, const char* aCause);
@@ -69,6 +74,8 @@
   std::shared_ptr<Tcp::socket> socket;
   Timer timer;
   OnAnswer onAnswer;
+  /// Identifies the timer's current wait; the handler of an earlier one may already be queued.
+  uint64_t timerNumber = 0;
   /// Sequence number of the current call, so that completions of earlier calls are ignored.
   uint64_t number = 0;
   bool connected = false;
--- a/libs/engine/include/engine/StoreFollower.h
+++ b/libs/engine/include/engine/StoreFollower.h
@@ -1,11 +1,15 @@
 /// @file Follows one kind of the store's objects: lists them, then watches for changes from the
 /// revision of the list.
 ///
+/// The first list may be seconds old, each page by a different time, as such a list costs a tenth;
+/// the watch starts at the oldest page's revision and so returns whatever the list lacks.
+///
 /// The store answers each watch within the watch's short wait even if nothing changed, so a missing
 /// answer means an unresponsive connection.
 #pragma once
 
 #include <base/Random.h>
+#include <directory/MirrorTree.h>
 #include <engine/StoreConnection.h>
 #include <engine/StoreMirror.h>
 #include <engine/Wire.h>
@@ -22,6 +26,14 @@
   base::Duration watchWait{ 0 };
 };
 
+/// What the next call is for.
+enum class SourceUse
+{
+  FirstList, ///< The first list since the start.
+  Relist,    ///< A list that replaces one whose changes can no longer be had.
+  Watch
+};
+
 class StoreFollower : public std::enable_shared_from_this<StoreFollower>
 {
 public:
@@ -32,14 +44,19 @@
     StoreKind kind = StoreKind::Configuration;
     base::Random& random;
     Metrics& metrics;
-    /// Selects the source of the next call.
-    std::function<StoreSource()> chooseSource;
-    /// Called when a mirror did not answer or answered with an error.
-    std::function<void(const StoreSource&)> onMirrorFailed;
+    /// Selects the source of the next call; empty when there is none now.
+    std::function<std::optional<StoreSource>(SourceUse)> chooseSource;
+    /// Called when a source did not answer usably.
+    std::function<void(const StoreSource&, directory::MirrorFailure)> onSourceFailed;
+    /// Called when a source answered usably.
+    std::function<void(const StoreSource&)> onSourceAnswered;
     /// Called with the raw body of a list's page, with the name that the page continues after, and
     /// of a watch's answer, for instances that follow this one as a mirror.
-    std::function<void(const std::string&, std::shared_ptr<const std::string>)> onPageBody;
-    std::function<void(uint64_t, MirroredUpdate, std::shared_ptr<const std::string>)> onChangesBody;
+    /// The time is that of the store's answer.
+    std::function<void(const std::string&, std::shared_ptr<const std::string>, base::Instant)>
+      onPageBody;
+    std::function<void(uint64_t, MirroredUpdate, std::shared_ptr<const std::string>, base::Instant)>
+      onChangesBody;
     /// Called with a complete list and the store's revision that it reflects.
     std::function<void(const std::vector<StoredObject>&, uint64_t)> onList;
     /// Called with changes, in the order of their revisions.
@@ -60,14 +77,22 @@
 
   const StoreSource& Source() const { return this->source; }
 
+  /// Calls the next source now if the follower waits for one, for example once mirrors are known.
+  void OnSourcesChanged();
+
 private:
   void Call();
   void OnAnswer(StoreAnswer&& aAnswer);
   void UseSource(const StoreSource& aSource);
   void OnListPage(HttpResponse&& aResponse);
   void OnChanges(HttpResponse&& aResponse);
-  void Fail(const char* aCause);
+  void Fail(const char* aCause, directory::MirrorFailure aFailure);
   void Succeed();
+  void MarkLost(const char* aCause);
+  SourceUse NextUse() const;
+  base::Duration Backoff();
+  base::Duration Jittered(base::Duration aDelay);
+  void RestartList();
   void ScheduleCall(base::Duration aDelay);
 
   Options options;
@@ -75,6 +100,8 @@
   StoreSource source;
   Timer delayTimer;
   bool listing = true;
+  bool hasListed = false;
+  bool awaitsSource = false;
   bool lost = false;
   bool stopped = false;
   unsigned consecutiveFailures = 0;
--- a/libs/engine/include/engine/Wire.h
+++ b/libs/engine/include/engine/Wire.h
@@ -78,6 +78,22 @@
   uint64_t revision = 0;
 };
 
+/// A page of the list of instances.
+struct InstancePage
+{
+  std::vector<directory::InstanceEntry> entries;
+  /// The name after which the next page starts; empty on the last page.
+  std::string continueAfter;
+};
+
+/// How old the pages of a list may be. The store charges a tenth for pages that may be seconds old,
+/// each by a different time.
+enum class ListAge
+{
+  MayBeOld,
+  Current
+};
+
 /// The kinds of objects that an instance watches.
 enum class StoreKind
 {
@@ -100,12 +116,12 @@
 /// the response is malformed.
 struct StoreCodec
 {
-  std::string (*listTarget)(StoreKind, const std::string& aAfter) = nullptr;
+  std::string (*listTarget)(StoreKind, const std::string& aAfter, ListAge) = nullptr;
   std::string (*watchTarget)(StoreKind, uint64_t aRevision, base::Duration aWait) = nullptr;
   std::optional<StorePage> (*readList)(StoreKind, const std::string& aBody) = nullptr;
   std::optional<StorePage> (*readChanges)(StoreKind, const std::string& aBody) = nullptr;
-  /// The target of the list of all instances' entries, which may be seconds old.
-  std::string (*instancesTarget)() = nullptr;
+  /// The target of a page of the list of all instances' entries, which may be seconds old.
+  std::string (*instancesTarget)(const std::string& aAfter) = nullptr;
   /// The target of one instance's entry; with an empty name, the target to create one.
   std::string (*instanceTarget)(const std::string& aName) = nullptr;
   /// Encodes an instance's entry; each heartbeat number gives a different entry.
@@ -113,8 +129,7 @@
   /// Encodes a watch response that reports no change since a revision.
   std::string (*writeNoChanges)(uint64_t aRevision) = nullptr;
   std::optional<StoreQuery> (*readQuery)(const std::string& aTarget) = nullptr;
-  std::optional<std::vector<directory::InstanceEntry>> (*readInstances)(const std::string& aBody) =
-    nullptr;
+  std::optional<InstancePage> (*readInstances)(const std::string& aBody) = nullptr;
 };
 
 } // namespace sapphirewind::engine
--- a/libs/engine/src/ClusterState.cpp
+++ b/libs/engine/src/ClusterState.cpp
@@ -6,12 +6,22 @@
 
 namespace {
 
-/// Instances that mirror the store for the others of their region: two, so that one may fail.
-constexpr size_t kMirrorsPerRegion = 2;
+/// A watch at the store waits this fraction (1/n) of the time within which a draining server must
+/// stop receiving requests, if others depend on it: a connection that has gone silent is noticed
+/// after it.
+constexpr int kMirrorWaitDivisor = 3;
 /// How much longer than its wait a mirror's own watch may take before its cache counts as stale.
 constexpr base::Duration kMirrorSlack = std::chrono::milliseconds(800);
-/// How long a mirror is not used after it failed.
-constexpr base::Duration kMirrorCooldown = std::chrono::seconds(3);
+/// How much longer a watch at a mirror waits than the mirror's at the store, whose answer it
+/// relays.
+constexpr base::Duration kRelaySlack = std::chrono::milliseconds(400);
+/// On a first start, all instances register at once: an earlier list is incomplete, and by this
+/// time they follow the store even without a list.
+constexpr base::Duration kMinSettleTime = std::chrono::milliseconds(1500);
+constexpr base::Duration kMaxSettleTime = std::chrono::milliseconds(3000);
+/// An instance that has run out of mirrors goes to the store at the latest after this fraction
+/// (1/n) of the time within which a draining server must stop receiving requests.
+constexpr int kMaxStoreDelayDivisor = 4;
 
 /// Timeout of an update to another instance: two round trips between regions, plus scheduling.
 constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(500);
@@ -34,16 +44,13 @@
 
 ClusterState::ClusterState(Options aOptions)
   : options(std::move(aOptions))
-  , mirror(MirrorServer::Options{
-      .loop = this->options.context.loop,
-      .codec = this->options.codec,
-      .endpoint = this->options.peerEndpoint,
-      .freshness = this->options.mirrorWait + kMirrorSlack,
-      .followsStore = [this](StoreKind aKind) { return !this->Follower(aKind).Source().isMirror; },
-      .onQuarantineUpdate =
-        [this](const std::string& aMessage) {
-          return this->options.context.crashGuard.OnPeerMessage(aMessage);
-        } })
+  , mirror(MirrorServer::Options{ .loop = this->options.context.loop,
+                                  .codec = this->options.codec,
+                                  .endpoint = this->options.peerEndpoint,
+                                  .freshness = this->MirrorWait() + kMirrorSlack,
+                                  .onQuarantineUpdate = [this](const std::string& aMessage) {
+                                    return this->options.context.crashGuard.OnPeerMessage(aMessage);
+                                  } })
 {
 }
 
@@ -74,6 +81,7 @@
     .entry = { .name = this->options.instance,
                .address = FormatEndpoint(this->mirror.LocalEndpoint()),
                .region = this->options.region },
+    .firstStart = this->options.firstStart,
     .random = this->options.context.random,
     .onInstancesListed = [this](const directory::InstanceTracker& aTracker) {
       this->OnInstancesListed(aTracker);
@@ -96,18 +104,25 @@
     .kind = aKind,
     .random = this->options.context.random,
     .metrics = this->options.context.metrics,
-    .chooseSource = [this] { return this->ChooseSource(); },
-    .onMirrorFailed = [this](const StoreSource& aSource) { this->OnMirrorFailed(aSource); },
-    .onPageBody = [this, aKind](const std::string& aAfter,
-                                Body aBody) { this->OnPageBody(aKind, aAfter, std::move(aBody)); },
+    .chooseSource = [this, aKind](SourceUse aUse) { return this->ChooseSource(aKind, aUse); },
+    .onSourceFailed =
+      [this, aKind](const StoreSource& aSource, directory::MirrorFailure aFailure) {
+        this->OnSourceFailed(aKind, aSource, aFailure);
+      },
+    .onSourceAnswered =
+      [this, aKind](const StoreSource& aSource) { this->OnSourceAnswered(aKind, aSource); },
+    .onPageBody =
+      [this, aKind](const std::string& aAfter, Body aBody, base::Instant aAnsweredAt) {
+        AddListPage(this->mirror.CacheOf(aKind), aAfter, std::move(aBody), aAnsweredAt);
+      },
     .onChangesBody =
-      [this, aKind](uint64_t aTo, MirroredUpdate aUpdate, Body aBody) {
-        this->OnChangesBody(aKind, aTo, aUpdate, std::move(aBody));
+      [this, aKind](uint64_t aTo, MirroredUpdate aUpdate, Body aBody, base::Instant aAnsweredAt) {
+        this->OnChangesBody(aKind, aTo, aUpdate, std::move(aBody), aAnsweredAt);
       },
     .onList =
       [this, aKind, followsServers](const Objects& aObjects, uint64_t aRevision) {
         CommitList(this->mirror.CacheOf(aKind), aRevision);
-        this->mirror.AnswerWaiting(aKind);
+        this->mirror.AnswerWaiting(aKind, MirroredUpdate::Changes);
         if (followsServers) {
           this->OnServerList(aObjects, aRevision);
         } else {
@@ -145,26 +160,19 @@
   }
 }
 
-void
-ClusterState::OnPageBody(StoreKind aKind,
-                         const std::string& aAfter,
-                         std::shared_ptr<const std::string> aBody)
-{
-  AddListPage(this->mirror.CacheOf(aKind), aAfter, std::move(aBody), base::Now());
-}
-
 void
 ClusterState::OnChangesBody(StoreKind aKind,
                             uint64_t aTo,
                             MirroredUpdate aUpdate,
-                            std::shared_ptr<const std::string> aBody)
+                            std::shared_ptr<const std::string> aBody,
+                            base::Instant aAnsweredAt)
 {
   if (aKind == StoreKind::Servers) {
-    this->options.context.upstreams.RecordSourceAnswer(base::Now());
+    this->options.context.upstreams.RecordSourceAnswer(aAnsweredAt);
   }
   MirrorCache& cache = this->mirror.CacheOf(aKind);
-  AddChanges(cache, aTo, aUpdate, std::move(aBody), base::Now());
-  this->mirror.AnswerWaiting(aKind);
+  AddChanges(cache, aTo, aUpdate, std::move(aBody), aAnsweredAt);
+  this->mirror.AnswerWaiting(aKind, aUpdate);
   if (IsOverSizeLimit(cache)) {
     this->Follower(aKind).Relist();
   }
@@ -176,43 +184,103 @@
   return aKind == StoreKind::Servers ? *this->serverFollower : *this->configurationFollower;
 }
 
+base::Duration
+ClusterState::MirrorWait() const
+{
+  return this->options.drain / kMirrorWaitDivisor;
+}
+
+directory::SourceState&
+ClusterState::SourcesOf(StoreKind aKind)
+{
+  return aKind == StoreKind::Servers ? this->serverSources : this->configurationSources;
+}
+
 StoreSource
-ClusterState::ChooseSource() const
+ClusterState::StoreAsSource() const
+{
+  bool isDirect = this->planKnown && this->serverSources.plan.followsStore &&
+                  this->serverSources.plan.candidates.empty();
+  // Others wait for this instance's updates, or it waits for a mirror to be usable again.
+  base::Duration wait =
+    isDirect ? this->options.watchWait : std::min(this->options.watchWait, this->MirrorWait());
+  return { .endpoint = *ParseEndpoint(this->options.storeAddress), .watchWait = wait };
+}
+
+std::optional<StoreSource>
+ClusterState::ChooseSource(StoreKind aKind, SourceUse aUse)
 {
-  StoreSource store{ .endpoint = *ParseEndpoint(this->options.storeAddress),
-                     .watchWait = this->options.watchWait };
-  if (this->mirrors.empty()) {
-    return store;
-  }
-  // Either this instance is a mirror, whose followers depend on its updates, or no mirror is usable
-  // and updates must not take longer than through a mirror.
-  store.watchWait = std::min(this->options.watchWait, this->options.mirrorWait);
   base::Instant now = base::Now();
-  size_t first = base::Hash64(this->options.instance) % this->mirrors.size();
-  for (const directory::InstanceEntry& entry : this->mirrors) {
-    if (entry.name == this->options.instance) {
-      return store;
-    }
+  directory::SourceState& sources = this->SourcesOf(aKind);
+  bool listsAtStore = aUse == SourceUse::FirstList && sources.storeFailuresInRow == 0;
+  if (listsAtStore) {
+    return this->StoreAsSource();
   }
-  for (size_t step = 0; step < this->mirrors.size(); ++step) {
-    const directory::InstanceEntry& entry = this->mirrors[(first + step) % this->mirrors.size()];
-    auto failure = this->mirrorFailures.find(entry.address);
-    bool failedRecently =
-      failure != this->mirrorFailures.end() && now - failure->second < kMirrorCooldown;
-    std::optional<Tcp::endpoint> endpoint = ParseEndpoint(entry.address);
-    if (!failedRecently && endpoint) {
-      return { .endpoint = *endpoint, .isMirror = true, .watchWait = this->options.mirrorWait };
-    }
+  if (!this->planKnown) {
+    bool mayUseStore = aUse != SourceUse::Watch || now - this->startedAt >= kMaxSettleTime;
+    return mayUseStore ? std::optional(this->StoreAsSource()) : std::nullopt;
+  }
+  directory::SourceChoice choice =
+    directory::ChooseSource(sources, this->options.drain / kMaxStoreDelayDivisor, now);
+  if (choice.kind == directory::SourceChoice::Kind::Wait) {
+    return std::nullopt;
   }
-  return store;
+  if (choice.kind == directory::SourceChoice::Kind::Store) {
+    return this->StoreAsSource();
+  }
+  std::optional<Tcp::endpoint> endpoint = ParseEndpoint(choice.mirror.address);
+  if (!endpoint) {
+    directory::OnMirrorFailed(
+      sources, choice.mirror.address, directory::MirrorFailure::Unreachable, now);
+    return std::nullopt;
+  }
+  return StoreSource{ .endpoint = *endpoint,
+                      .isMirror = true,
+                      .watchWait = this->MirrorWait() + kRelaySlack };
 }
 
 void
-ClusterState::OnMirrorFailed(const StoreSource& aSource)
+ClusterState::OnSourceFailed(StoreKind aKind,
+                             const StoreSource& aSource,
+                             directory::MirrorFailure aFailure)
 {
+  base::Instant now = base::Now();
+  if (!aSource.isMirror) {
+    directory::OnStoreFailed(this->SourcesOf(aKind), now);
+    return;
+  }
   std::string address = FormatEndpoint(aSource.endpoint);
-  telemetry::Log(telemetry::Event::MirrorFailed, { { "mirror", address } });
-  this->mirrorFailures[address] = base::Now();
+  directory::OnMirrorFailed(this->SourcesOf(aKind), address, aFailure, now);
+  telemetry::Log(
+    telemetry::Event::MirrorFailed,
+    { { "mirror", address },
+      { "follows", NameOf(aKind) },
+      { "why", aFailure == directory::MirrorFailure::NotCurrent ? "not current" : "no answer" } });
+}
+
+void
+ClusterState::OnSourceAnswered(StoreKind aKind, const StoreSource& aSource)
+{
+  if (aSource.isMirror) {
+    directory::OnMirrorAnswered(this->SourcesOf(aKind), FormatEndpoint(aSource.endpoint));
+  } else {
+    directory::OnStoreAnswered(this->SourcesOf(aKind));
+  }
+}
+
+void
+ClusterState::UpdatePlan(const directory::InstanceTracker& aTracker, base::Instant aNow)
+{
+  if (this->options.firstStart && aNow - this->startedAt < kMinSettleTime) {
+    return;
+  }
+  directory::MirrorPlan plan =
+    directory::PlanMirrors(aTracker, this->options.region, this->options.instance, aNow);
+  this->configurationSources.plan = plan;
+  this->serverSources.plan = std::move(plan);
+  this->planKnown = true;
+  this->configurationFollower->OnSourcesChanged();
+  this->serverFollower->OnSourcesChanged();
 }
 
 void
@@ -290,11 +358,11 @@
 }
 
 void
-ClusterState::SetWaits(base::Duration aWatchWait, base::Duration aMirrorWait)
+ClusterState::SetWaits(base::Duration aWatchWait, base::Duration aDrain)
 {
   this->options.watchWait = aWatchWait;
-  this->options.mirrorWait = aMirrorWait;
-  this->mirror.SetFreshness(aMirrorWait + kMirrorSlack);
+  this->options.drain = aDrain;
+  this->mirror.SetFreshness(this->MirrorWait() + kMirrorSlack);
 }
 
 bool
@@ -357,7 +425,7 @@
 ClusterState::OnInstancesListed(const directory::InstanceTracker& aTracker)
 {
   base::Instant now = base::Now();
-  this->mirrors = directory::ChooseMirrors(aTracker, this->options.region, kMirrorsPerRegion, now);
+  this->UpdatePlan(aTracker, now);
   this->peers = directory::ListLive(aTracker, now);
   std::erase_if(this->peers, [this](const directory::InstanceEntry& aEntry) {
     return aEntry.name == this->options.instance;
@@ -367,8 +435,9 @@
     return;
   }
   this->instances = count;
-  telemetry::Log(telemetry::Event::InstancesCounted,
-                 { { "instances", count }, { "mirrors", this->mirrors.size() } });
+  telemetry::Log(
+    telemetry::Event::InstancesCounted,
+    { { "instances", count }, { "mirrors", this->serverSources.plan.candidates.size() } });
   this->options.context.upstreams.SetInstances(directory::CountByRegion(aTracker, now));
   this->UpdateUpstreams();
 }
--- a/libs/engine/src/ClusterState.h
+++ b/libs/engine/src/ClusterState.h
@@ -21,10 +21,12 @@
     std::string instance;
     std::string region;
     Tcp::endpoint peerEndpoint;
+    /// The store's list of instances is incomplete for a while, as all of them start now.
+    bool firstStart = false;
     /// How long a watch at the store may wait when the region has no mirrors.
     base::Duration watchWait{ 0 };
-    /// How long a watch may wait that is made by a mirror or at a mirror.
-    base::Duration mirrorWait{ 0 };
+    /// How long a draining server may still receive requests; bounds the age of relayed updates.
+    base::Duration drain{ 0 };
     /// Called once, when requests can be served for the first time.
     std::function<void()> onUsable;
   };
@@ -41,7 +43,7 @@
   void RunMaintenance(base::Instant aNow);
 
   /// Changes how long watches wait, starting with the next one.
-  void SetWaits(base::Duration aWatchWait, base::Duration aMirrorWait);
+  void SetWaits(base::Duration aWatchWait, base::Duration aDrain);
 
   /// Fills in the fields of the status that come from the store.
   void Describe(InstanceStatus& aStatus, base::Instant aNow) const;
@@ -62,11 +64,21 @@
   void OnServerChanges(const std::vector<StoredObject>& aObjects);
   void OnLost(StoreKind aKind, const char* aCause);
   void OnRecovered(StoreKind aKind);
-  void OnPageBody(StoreKind aKind, const std::string& aAfter, std::shared_ptr<const std::string>);
-  void OnChangesBody(StoreKind aKind, uint64_t, MirroredUpdate, std::shared_ptr<const std::string>);
+  void OnChangesBody(StoreKind aKind,
+                     uint64_t aTo,
+                     MirroredUpdate aUpdate,
+                     std::shared_ptr<const std::string> aBody,
+                     base::Instant aAnsweredAt);
   StoreFollower& Follower(StoreKind aKind) const;
-  StoreSource ChooseSource() const;
-  void OnMirrorFailed(const StoreSource& aSource);
+  base::Duration MirrorWait() const;
+  directory::SourceState& SourcesOf(StoreKind aKind);
+  std::optional<StoreSource> ChooseSource(StoreKind aKind, SourceUse aUse);
+  StoreSource StoreAsSource() const;
+  void OnSourceFailed(StoreKind aKind,
+                      const StoreSource& aSource,
+                      directory::MirrorFailure aFailure);
+  void OnSourceAnswered(StoreKind aKind, const StoreSource& aSource);
+  void UpdatePlan(const directory::InstanceTracker& aTracker, base::Instant aNow);
   void OnInstancesListed(const directory::InstanceTracker& aTracker);
   void UpdateUpstreams();
   StoreConnection::Options ConnectionOptions() const;
@@ -79,10 +91,10 @@
   size_t instances = 0;
   /// The other live instances.
   std::vector<directory::InstanceEntry> peers;
-  /// The mirrors of this region; empty when every instance follows the store itself.
-  std::vector<directory::InstanceEntry> mirrors;
-  /// Time of the last failure of each mirror, by address.
-  std::map<std::string, base::Instant> mirrorFailures;
+  directory::SourceState configurationSources;
+  directory::SourceState serverSources;
+  /// Whether the list of instances was read late enough to plan by it.
+  bool planKnown = false;
   bool wasUsable = false;
   base::Instant startedAt{};
   /// Whether the start-up period with limited connection shares is over.
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -22,10 +22,6 @@
 constexpr base::Duration kDrainNotice = std::chrono::milliseconds(2500);
 /// The process exits this long before the platform would kill it.
 constexpr base::Duration kStopMargin = std::chrono::milliseconds(700);
-/// A mirror's watch at the store, and a follower's watch at a mirror, each waits this fraction
-/// (1/n) of the time within which a draining server must stop receiving requests: an update may be
-/// delayed by both waits.
-constexpr int kMirrorWaitDivisor = 3;
 /// How often the settings file is checked for changes without a signal.
 constexpr base::Duration kSettingsPollInterval = std::chrono::seconds(5);
 /// How often a stopping instance checks whether the last caller's connection is closed.
@@ -69,8 +65,9 @@
                                .instance = this->settings.instance,
                                .region = RegionOf(this->settings),
                                .peerEndpoint = *ParseEndpoint(this->settings.peerAddress),
+                               .firstStart = this->settings.firstStart,
                                .watchWait = this->settings.watchWait,
-                               .mirrorWait = this->settings.drain / kMirrorWaitDivisor,
+                               .drain = this->settings.drain,
                                .onUsable = [this] { this->OnUsable(); } })
     , ingress(Ingress::Options{ .context = this->context,
                                 .clusterState = this->clusterState,
@@ -234,7 +231,7 @@
                      { "needs_restart", needsRestart ? "yes" : "no" } });
     this->settings = next;
     this->upstreams.SetExtraAttemptLimits(next.extraShare, next.extraMinimum);
-    this->clusterState.SetWaits(next.watchWait, next.drain / kMirrorWaitDivisor);
+    this->clusterState.SetWaits(next.watchWait, next.drain);
   }
 
   void OnUsable()
--- a/libs/engine/src/InstanceRegistration.cpp
+++ b/libs/engine/src/InstanceRegistration.cpp
@@ -1,5 +1,7 @@
 #include "InstanceRegistration.h"
 
+#include <algorithm>
+#include <array>
 #include <telemetry/Events.h>
 
 namespace sapphirewind::engine {
@@ -8,6 +10,10 @@
 
 /// The store answers in milliseconds; the next heartbeat makes up for a lost one.
 constexpr base::Duration kCallTimeout = std::chrono::milliseconds(1000);
+/// Times since a first start at which the instances are listed, while they register.
+constexpr std::array<base::Duration, 3> kFirstLists = { std::chrono::milliseconds(1600),
+                                                        std::chrono::milliseconds(4000),
+                                                        std::chrono::milliseconds(8000) };
 /// Delay after a failed call.
 constexpr base::Duration kRetryDelay = std::chrono::milliseconds(1000);
 
@@ -24,7 +30,12 @@
 void
 InstanceRegistration::Start()
 {
-  this->SendHeartbeat();
+  this->startedAt = base::Now();
+  if (this->options.firstStart) {
+    this->Create();
+  } else {
+    this->SendHeartbeat();
+  }
 }
 
 void
@@ -67,6 +78,7 @@
     this->Fail("beat", aAnswer);
     return;
   }
+  this->heartbeatAt = base::Now();
   this->List();
 }
 
@@ -82,17 +94,28 @@
 void
 InstanceRegistration::OnCreated(StoreAnswer&& aAnswer)
 {
+  bool exists = aAnswer.response && aAnswer.response->result() == http::status::conflict;
+  if (exists) {
+    this->SendHeartbeat();
+    return;
+  }
   if (!aAnswer.response || aAnswer.response->result_int() >= 300) {
     this->Fail("create", aAnswer);
     return;
   }
-  this->List();
+  this->heartbeatAt = base::Now();
+  if (this->options.firstStart && this->lists == 0) {
+    this->ScheduleNext();
+  } else {
+    this->List();
+  }
 }
 
 void
-InstanceRegistration::List()
+InstanceRegistration::List(const std::string& aAfter)
 {
-  this->Make({ .target = this->options.codec.instancesTarget() }, &InstanceRegistration::OnListed);
+  this->Make({ .target = this->options.codec.instancesTarget(aAfter), .kind = Counter::StoreList },
+             &InstanceRegistration::OnListed);
 }
 
 void
@@ -102,23 +125,34 @@
     this->Fail("list", aAnswer);
     return;
   }
-  this->OnList(*aAnswer.response);
+  this->OnPage(*aAnswer.response);
 }
 
 void
-InstanceRegistration::OnList(const HttpResponse& aResponse)
+InstanceRegistration::OnPage(const HttpResponse& aResponse)
 {
-  auto instances = this->options.codec.readInstances(aResponse.body());
-  if (!instances) {
+  std::optional<InstancePage> page = this->options.codec.readInstances(aResponse.body());
+  if (!page) {
     this->Fail("list", StoreAnswer{ .cause = "malformed" });
     return;
   }
   base::Instant now = base::Now();
-  for (const directory::InstanceEntry& entry : *instances) {
+  for (const directory::InstanceEntry& entry : page->entries) {
     directory::RecordHeartbeat(this->tracker, entry, now);
   }
+  if (page->continueAfter.empty()) {
+    this->OnListComplete();
+  } else {
+    this->List(page->continueAfter);
+  }
+}
+
+void
+InstanceRegistration::OnListComplete()
+{
+  ++this->lists;
   this->options.onInstancesListed(this->tracker);
-  this->expired = directory::ExtractExpired(this->tracker, now);
+  this->expired = directory::ExtractExpired(this->tracker, base::Now());
   this->RemoveExpired();
 }
 
@@ -126,7 +160,7 @@
 InstanceRegistration::RemoveExpired()
 {
   if (this->expired.empty()) {
-    this->ScheduleHeartbeat(directory::HeartbeatInterval(this->tracker.heartbeats.size()));
+    this->ScheduleNext();
     return;
   }
   std::string name = this->expired.back();
@@ -153,19 +187,50 @@
     aAnswer.response ? std::to_string(aAnswer.response->result_int()) : aAnswer.cause;
   telemetry::Log(telemetry::Event::RegistrationFailed,
                  { { "call", aCallName }, { "why", status } });
-  this->ScheduleHeartbeat(kRetryDelay);
+  this->Schedule(this->Jittered(kRetryDelay));
+}
+
+void
+InstanceRegistration::ScheduleNext()
+{
+  base::Instant now = base::Now();
+  if (this->options.firstStart && this->lists < kFirstLists.size()) {
+    base::Instant due = this->startedAt + kFirstLists[this->lists];
+    this->Schedule(std::max(base::Duration(0), due - now));
+    return;
+  }
+  this->Schedule(this->Jittered(directory::ListInterval(this->tracker.heartbeats.size())));
+}
+
+base::Duration
+InstanceRegistration::Jittered(base::Duration aInterval)
+{
+  double factor = 0.75 + 0.5 * base::UniformUnit(this->options.random);
+  return base::FromFractionalMillis(base::ToFractionalMillis(aInterval) * factor);
 }
 
 void
-InstanceRegistration::ScheduleHeartbeat(base::Duration aDelay)
+InstanceRegistration::Schedule(base::Duration aDelay)
 {
-  double jitter = 0.75 + 0.5 * base::UniformUnit(this->options.random);
-  this->timer.expires_after(base::FromFractionalMillis(base::ToFractionalMillis(aDelay) * jitter));
+  this->timer.expires_after(aDelay);
   this->timer.async_wait([self = this->shared_from_this()](ErrorCode aError) {
     if (!aError) {
-      self->SendHeartbeat();
+      self->RunNext();
     }
   });
 }
 
+void
+InstanceRegistration::RunNext()
+{
+  // Lists come at least as often as heartbeats, so the interval is met to within one of theirs.
+  base::Duration interval = directory::HeartbeatInterval(this->tracker.heartbeats.size());
+  base::Duration tolerance = directory::kMinListInterval / 2;
+  if (base::Now() - this->heartbeatAt >= interval - tolerance) {
+    this->SendHeartbeat();
+  } else {
+    this->List();
+  }
+}
+
 } // namespace sapphirewind::engine
--- a/libs/engine/src/InstanceRegistration.h
+++ b/libs/engine/src/InstanceRegistration.h
@@ -17,6 +17,8 @@
     StoreConnection::Options connection;
     /// This instance's entry.
     directory::InstanceEntry entry;
+    /// All instances start now: none has an entry yet, and an early list is incomplete.
+    bool firstStart = false;
     base::Random& random;
     /// Called after each list of the instances.
     std::function<void(const directory::InstanceTracker&)> onInstancesListed;
@@ -30,10 +32,15 @@
 private:
   void SendHeartbeat();
   void Create();
-  void List();
-  void OnList(const HttpResponse& aResponse);
+  /// Reads the first page, or the one after a name.
+  void List(const std::string& aAfter = "");
+  void OnPage(const HttpResponse& aResponse);
+  void OnListComplete();
   void RemoveExpired();
-  void ScheduleHeartbeat(base::Duration aDelay);
+  void ScheduleNext();
+  void Schedule(base::Duration aDelay);
+  void RunNext();
+  base::Duration Jittered(base::Duration aInterval);
   void Fail(const char* aCallName, const StoreAnswer& aAnswer);
   void Make(StoreConnection::Call aCall, void (InstanceRegistration::*aNext)(StoreAnswer&&));
   void OnHeartbeatAnswered(StoreAnswer&& aAnswer);
@@ -46,6 +53,10 @@
   Timer timer;
   directory::InstanceTracker tracker;
   std::vector<std::string> expired;
+  base::Instant startedAt{};
+  /// When the latest heartbeat was written.
+  base::Instant heartbeatAt{};
+  size_t lists = 0;
   uint64_t heartbeat = 0;
 };
 
--- a/libs/engine/src/Metrics.cpp
+++ b/libs/engine/src/Metrics.cpp
@@ -17,7 +17,8 @@
 constexpr std::array<const char*, kCounterCount> kCounterNames = {
   "answered",         "answered_partly", "refused_not_run",   "failed_unknown", "timed_out",
   "bad_request",      "caller_left",     "upstream_send",     "hedge",          "attempt_failed",
-  "budget_exhausted", "store_call",      "store_call_failed", "peer_call",      "peer_call_failed"
+  "budget_exhausted", "store_call",      "store_call_failed", "store_list",     "store_watch",
+  "store_write",      "peer_call",       "peer_call_failed"
 };
 /// Bucket bounds in seconds around the latency objectives of 80 to 1,200 ms.
 const prometheus::Histogram::BucketBoundaries kLatencyBounds = { 0.01, 0.025, 0.05, 0.08,
--- a/libs/engine/src/MirrorServer.cpp
+++ b/libs/engine/src/MirrorServer.cpp
@@ -1,17 +1,15 @@
 #include "MirrorServer.h"
 
+#include <algorithm>
+#include <directory/MirrorTree.h>
+
 namespace sapphirewind::engine {
 
 namespace {
 
-HttpResponse
-WithBody(const std::string& aBody)
-{
-  HttpResponse response(http::status::ok, 11);
-  response.set(http::field::content_type, "application/json");
-  response.body() = aBody;
-  return response;
-}
+/// Watches of a kind that may wait here; further ones are refused, so that failures elsewhere do
+/// not overload a small machine.
+constexpr size_t kMaxWaiting = 3 * directory::kMirrorFanOut;
 
 HttpResponse
 WithStatus(http::status aStatus)
@@ -47,8 +45,27 @@
 bool
 MirrorServer::CanServe(StoreKind aKind)
 {
-  return this->options.followsStore(aKind) &&
-         IsFresh(this->CacheOf(aKind), this->options.freshness, base::Now());
+  return IsFresh(this->CacheOf(aKind), this->options.freshness, base::Now());
+}
+
+HttpResponse
+MirrorServer::Relay(StoreKind aKind, const std::string& aBody)
+{
+  HttpResponse response(http::status::ok, 11);
+  response.set(http::field::content_type, "application/json");
+  base::Duration age = base::Now() - this->CacheOf(aKind).lastAnswerAt;
+  response.set(kDataAgeHeader, std::to_string(base::ToMillis(age)));
+  response.body() = aBody;
+  return response;
+}
+
+size_t
+MirrorServer::CountWaiting(StoreKind aKind) const
+{
+  return static_cast<size_t>(
+    std::count_if(this->waiting.begin(), this->waiting.end(), [aKind](const auto& aEntry) {
+      return aEntry.second.kind == aKind;
+    }));
 }
 
 void
@@ -83,7 +100,7 @@
   const MirrorCache& cache = this->CacheOf(aQuery.kind);
   auto page = cache.pages.find(aQuery.after);
   aRespond(page == cache.pages.end() ? WithStatus(http::status::service_unavailable)
-                                     : WithBody(*page->second));
+                                     : this->Relay(aQuery.kind, *page->second));
 }
 
 void
@@ -95,9 +112,13 @@
       aRespond(WithStatus(http::status::gone));
       return;
     case WatchStatus::Changes:
-      aRespond(WithBody(*answer.body));
+      aRespond(this->Relay(aQuery.kind, *answer.body));
       return;
     case WatchStatus::Wait:
+      if (this->CountWaiting(aQuery.kind) >= kMaxWaiting) {
+        aRespond(WithStatus(http::status::service_unavailable));
+        return;
+      }
       this->Wait(aQuery, std::move(aRespond));
       return;
   }
@@ -130,28 +151,34 @@
   }
   HttpServer::Respond respond = std::move(entry->second.respond);
   uint64_t revision = entry->second.revision;
-  bool current = this->CanServe(entry->second.kind);
+  StoreKind kind = entry->second.kind;
   this->waiting.erase(entry);
-  respond(current ? WithBody(this->options.codec.writeNoChanges(revision))
-                  : WithStatus(http::status::service_unavailable));
+  respond(this->CanServe(kind) ? this->Relay(kind, this->options.codec.writeNoChanges(revision))
+                               : WithStatus(http::status::service_unavailable));
 }
 
 void
-MirrorServer::AnswerWaiting(StoreKind aKind)
+MirrorServer::AnswerWaiting(StoreKind aKind, MirroredUpdate aUpdate)
 {
   for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
     auto current = entry++;
     if (current->second.kind != aKind) {
       continue;
     }
-    WatchResponse answer = FindChanges(this->CacheOf(aKind), current->second.revision);
-    if (answer.status == WatchStatus::Wait) {
+    uint64_t revision = current->second.revision;
+    WatchResponse answer = FindChanges(this->CacheOf(aKind), revision);
+    if (answer.status == WatchStatus::Wait && aUpdate != MirroredUpdate::None) {
       continue;
     }
     HttpServer::Respond respond = std::move(current->second.respond);
     this->waiting.erase(current);
-    respond(answer.status == WatchStatus::Changes ? WithBody(*answer.body)
-                                                  : WithStatus(http::status::gone));
+    if (answer.status == WatchStatus::Gone) {
+      respond(WithStatus(http::status::gone));
+    } else {
+      bool hasChanges = answer.status == WatchStatus::Changes;
+      respond(this->Relay(
+        aKind, hasChanges ? *answer.body : this->options.codec.writeNoChanges(revision)));
+    }
   }
 }
 
--- a/libs/engine/src/MirrorServer.h
+++ b/libs/engine/src/MirrorServer.h
@@ -9,6 +9,9 @@
 
 namespace sapphirewind::engine {
 
+/// Response header between instances: the time since the store answered, in milliseconds.
+constexpr const char* kDataAgeHeader = "Data-Age-Ms";
+
 /// HTTP path for quarantine updates between instances.
 constexpr const char* kQuarantineUpdateTarget = "/crash-news";
 
@@ -22,8 +25,6 @@
     Tcp::endpoint endpoint;
     /// Maximum time since the store's last answer for the cache to be served.
     base::Duration freshness{ 0 };
-    /// Whether this instance follows the store itself.
-    std::function<bool(StoreKind)> followsStore;
     /// Applies a quarantine update of another instance; false when it is malformed.
     std::function<bool(const std::string&)> onQuarantineUpdate;
   };
@@ -39,8 +40,9 @@
 
   MirrorCache& CacheOf(StoreKind aKind);
 
-  /// Answers the waiting watches of a kind for which there are changes now.
-  void AnswerWaiting(StoreKind aKind);
+  /// Answers the waiting watches of a kind for which there are changes now. The others stay, or,
+  /// after an answer without changes, learn from it that the data is still current.
+  void AnswerWaiting(StoreKind aKind, MirroredUpdate aUpdate);
 
   /// Answers all waiting watches of a kind with 503, so that they use another source.
   void RejectWaiting(StoreKind aKind);
@@ -60,6 +62,8 @@
   void Wait(const StoreQuery& aQuery, HttpServer::Respond aRespond);
   void OnWaitOver(uint64_t aNumber);
   bool CanServe(StoreKind aKind);
+  HttpResponse Relay(StoreKind aKind, const std::string& aBody);
+  size_t CountWaiting(StoreKind aKind) const;
 
   Options options;
   HttpServer server;
--- a/libs/engine/src/Settings.cpp
+++ b/libs/engine/src/Settings.cpp
@@ -59,6 +59,7 @@
   settings.metricsAddress = ReadAddress(reader, "listen_metrics");
   settings.peerAddress = ReadAddress(reader, "listen_peers");
   settings.storeAddress = ReadAddress(reader, "store");
+  settings.firstStart = reader.OptionalBoolean("first_start", false);
   settings.maxDescriptors =
     static_cast<unsigned>(reader.RequiredInteger("max_descriptors", 64, kMaxDescriptors));
   base::Duration stability = reader.RequiredDuration("stability_window");
--- a/libs/engine/src/StoreConnection.cpp
+++ b/libs/engine/src/StoreConnection.cpp
@@ -1,5 +1,6 @@
 #include <engine/StoreConnection.h>
 
+#include <algorithm>
 #include <cassert>
 
 namespace sapphirewind::engine {
@@ -13,6 +14,10 @@
 /// parser limits the header and the body itself.
 constexpr size_t kMaxUnparsedBytes = 128 * 1024;
 
+/// Limit on a connect: a machine without power does not refuse connections, and the caller has
+/// another source. The store answers within a few hundred milliseconds when it is slow.
+constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(600);
+
 } // namespace
 
 StoreConnection::StoreConnection(Options aOptions)
@@ -27,8 +32,10 @@
   assert(!this->onAnswer && "a call is already in progress");
   this->onAnswer = std::move(aOnAnswer);
   this->options.metrics.Count(this->options.toInstance ? Counter::PeerCall : Counter::StoreCall);
+  this->options.metrics.Count(aCall.kind, this->options.toInstance ? 0 : 1);
   uint64_t current = ++this->number;
   auto exchange = std::make_shared<Exchange>();
+  exchange->timeout = aCall.timeout;
   exchange->request = HttpRequest(aCall.method, aCall.target, 11);
   exchange->request.set(http::field::host, this->options.host);
   exchange->request.body() = std::move(aCall.body);
@@ -39,16 +46,11 @@
   exchange->buffer.max_size(kMaxUnparsedBytes);
   exchange->parser.body_limit(kMaxAnswerBytes);
   auto self = this->shared_from_this();
-  this->timer.expires_after(aCall.timeout);
-  this->timer.async_wait([self, current](ErrorCode aError) {
-    if (!aError) {
-      self->Fail(current, "timeout");
-    }
-  });
   if (this->connected) {
     this->Send(exchange, current);
     return;
   }
+  this->ArmTimer(std::min(kConnectTimeout, exchange->timeout), "connect timeout");
   this->socket = std::make_shared<Tcp::socket>(this->options.loop);
   this->socket->async_connect(
     this->options.endpoint,
@@ -67,10 +69,25 @@
     });
 }
 
+void
+StoreConnection::ArmTimer(base::Duration aAfter, const char* aCause)
+{
+  uint64_t timerNumber = ++this->timerNumber;
+  this->timer.expires_after(aAfter);
+  this->timer.async_wait(
+    [self = this->shared_from_this(), timerNumber, current = this->number, aCause](
+      ErrorCode aError) {
+      if (!aError && timerNumber == self->timerNumber) {
+        self->Fail(current, aCause);
+      }
+    });
+}
+
 void
 StoreConnection::Send(const std::shared_ptr<Exchange>& aExchange, uint64_t aNumber)
 {
   auto self = this->shared_from_this();
+  this->ArmTimer(aExchange->timeout, "timeout");
   http::async_write(
     *this->socket,
     aExchange->request,
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -1,8 +1,11 @@
 #include <engine/StoreFollower.h>
 
 #include <algorithm>
+#include <charconv>
 #include <telemetry/Events.h>
 
+#include "MirrorServer.h"
+
 namespace sapphirewind::engine {
 
 namespace {
@@ -10,10 +13,15 @@
 /// Timeout of a call in addition to its wait; the store answers in milliseconds, and within a few
 /// hundred when it is slow.
 constexpr base::Duration kCallTimeout = std::chrono::milliseconds(800);
+/// After this many failures in a row, mirrors among them, the store counts as lost.
+constexpr unsigned kMirrorFailureLimit = 3;
 /// Delay before the next call after a mirror failed, which goes to another source.
 constexpr base::Duration kSourceSwitchDelay = std::chrono::milliseconds(10);
-/// Delay between watches after a change, so that changes in quick succession are applied together.
+/// Delay between watches of the store after a change, so that changes in quick succession are read
+/// together. At a mirror, whose answers are free, they are relayed at once.
 constexpr base::Duration kWatchBatchDelay = std::chrono::milliseconds(500);
+/// Interval of asking for a source while there is none, with jitter.
+constexpr base::Duration kSourcePollInterval = std::chrono::milliseconds(150);
 /// Backoff after a failed call: doubles with each consecutive failure up to the maximum, with
 /// jitter.
 constexpr base::Duration kMinBackoff = std::chrono::milliseconds(100);
@@ -32,6 +40,16 @@
   return aObjects.empty() ? MirroredUpdate::None : MirroredUpdate::Changes;
 }
 
+/// When the store made an answer that a mirror may have relayed.
+base::Instant
+AnsweredAt(const HttpResponse& aResponse, base::Instant aNow)
+{
+  auto text = aResponse[kDataAgeHeader];
+  int64_t ageMs = 0;
+  std::from_chars(text.data(), text.data() + text.size(), ageMs);
+  return aNow - std::chrono::milliseconds(std::max<int64_t>(0, ageMs));
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(Options aOptions)
@@ -60,9 +78,23 @@
 StoreFollower::Relist()
 {
   this->listing = true;
+  this->RestartList();
+}
+
+void
+StoreFollower::RestartList()
+{
   this->listAfter.clear();
 }
 
+void
+StoreFollower::OnSourcesChanged()
+{
+  if (this->awaitsSource && !this->stopped) {
+    this->ScheduleCall(base::Duration(0));
+  }
+}
+
 void
 StoreFollower::UseSource(const StoreSource& aSource)
 {
@@ -75,7 +107,7 @@
     this->connection->Stop();
   }
   // A list cannot be continued at a different source.
-  this->listAfter.clear();
+  this->RestartList();
   this->connection = std::make_shared<StoreConnection>(
     StoreConnection::Options{ .loop = this->options.loop,
                               .endpoint = aSource.endpoint,
@@ -84,17 +116,37 @@
                               .toInstance = aSource.isMirror });
 }
 
+SourceUse
+StoreFollower::NextUse() const
+{
+  if (!this->listing) {
+    return SourceUse::Watch;
+  }
+  return this->hasListed ? SourceUse::Relist : SourceUse::FirstList;
+}
+
 void
 StoreFollower::Call()
 {
-  this->UseSource(this->options.chooseSource());
+  SourceUse use = this->NextUse();
+  std::optional<StoreSource> next = this->options.chooseSource(use);
+  this->awaitsSource = !next;
+  if (!next) {
+    this->ScheduleCall(this->Jittered(kSourcePollInterval));
+    return;
+  }
+  this->UseSource(*next);
   StoreConnection::Call call{ .timeout = kCallTimeout };
   if (this->listing) {
-    call.target = this->options.codec.listTarget(this->options.kind, this->listAfter);
+    ListAge age =
+      use == SourceUse::FirstList && !this->source.isMirror ? ListAge::MayBeOld : ListAge::Current;
+    call.target = this->options.codec.listTarget(this->options.kind, this->listAfter, age);
+    call.kind = Counter::StoreList;
   } else {
     call.target =
       this->options.codec.watchTarget(this->options.kind, this->revision, this->source.watchWait);
     call.timeout += this->source.watchWait;
+    call.kind = Counter::StoreWatch;
   }
   this->connection->Make(std::move(call), [self = this->shared_from_this()](StoreAnswer&& aAnswer) {
     self->OnAnswer(std::move(aAnswer));
@@ -105,7 +157,7 @@
 StoreFollower::OnAnswer(StoreAnswer&& aAnswer)
 {
   if (!aAnswer.response) {
-    this->Fail(aAnswer.cause);
+    this->Fail(aAnswer.cause, directory::MirrorFailure::Unreachable);
     return;
   }
   HttpResponse& response = *aAnswer.response;
@@ -113,13 +165,16 @@
     telemetry::Log(
       telemetry::Event::StoreHistoryGone,
       { { "kind", static_cast<int>(this->options.kind) }, { "revision", this->revision } });
-    this->listing = true;
-    this->listAfter.clear();
+    this->Relist();
     this->ScheduleCall(base::Duration(0));
     return;
   }
+  if (response.result() == http::status::service_unavailable) {
+    this->Fail("refused", directory::MirrorFailure::NotCurrent);
+    return;
+  }
   if (response.result() != http::status::ok) {
-    this->Fail("refused");
+    this->Fail("refused", directory::MirrorFailure::Unreachable);
     return;
   }
   if (this->listing) {
@@ -135,17 +190,19 @@
   std::optional<StorePage> page =
     this->options.codec.readList(this->options.kind, aResponse.body());
   if (!page) {
-    this->Fail("malformed list");
+    this->Fail("malformed list", directory::MirrorFailure::Unreachable);
     return;
   }
   this->Succeed();
   if (this->listAfter.empty()) {
     this->listed.clear();
-    // The watch starts at the first page's revision, so it returns changes made between pages.
     this->listRevision = page->revision;
   }
-  this->options.onPageBody(this->listAfter,
-                           std::make_shared<std::string>(std::move(aResponse.body())));
+  // The watch starts at the oldest page's revision, so it returns the changes that a page lacks.
+  this->listRevision = std::min(this->listRevision, page->revision);
+  base::Instant answeredAt = AnsweredAt(aResponse, base::Now());
+  this->options.onPageBody(
+    this->listAfter, std::make_shared<std::string>(std::move(aResponse.body())), answeredAt);
   std::move(page->objects.begin(), page->objects.end(), std::back_inserter(this->listed));
   this->listAfter = page->continueAfter;
   if (!this->listAfter.empty()) {
@@ -153,6 +210,7 @@
     return;
   }
   this->listing = false;
+  this->hasListed = true;
   this->revision = this->listRevision;
   this->options.onList(this->listed, this->listRevision);
   this->listed.clear();
@@ -165,44 +223,67 @@
   std::optional<StorePage> page =
     this->options.codec.readChanges(this->options.kind, aResponse.body());
   if (!page) {
-    this->Fail("malformed changes");
+    this->Fail("malformed changes", directory::MirrorFailure::Unreachable);
     return;
   }
   this->Succeed();
+  base::Instant answeredAt = AnsweredAt(aResponse, base::Now());
   this->options.onChangesBody(page->revision,
                               ClassifyUpdate(page->objects),
-                              std::make_shared<std::string>(std::move(aResponse.body())));
+                              std::make_shared<std::string>(std::move(aResponse.body())),
+                              answeredAt);
   this->revision = std::max(this->revision, page->revision);
   if (!page->objects.empty()) {
     this->options.onChanges(page->objects);
   }
-  this->ScheduleCall(page->objects.empty() ? base::Duration(0) : kWatchBatchDelay);
+  bool readsTogether = !page->objects.empty() && !this->source.isMirror;
+  this->ScheduleCall(readsTogether ? kWatchBatchDelay : base::Duration(0));
 }
 
 void
-StoreFollower::Fail(const char* aCause)
+StoreFollower::Fail(const char* aCause, directory::MirrorFailure aFailure)
 {
-  this->listAfter.clear();
+  this->RestartList();
+  this->options.onSourceFailed(this->source, aFailure);
+  ++this->consecutiveFailures;
+  if (!this->source.isMirror || this->consecutiveFailures >= kMirrorFailureLimit) {
+    this->MarkLost(aCause);
+  }
   if (this->source.isMirror) {
-    this->options.onMirrorFailed(this->source);
     this->ScheduleCall(kSourceSwitchDelay);
     return;
   }
-  ++this->consecutiveFailures;
+  this->ScheduleCall(this->Backoff());
+}
+
+void
+StoreFollower::MarkLost(const char* aCause)
+{
   if (!this->lost) {
     this->lost = true;
     this->options.onLost(aCause);
   }
+}
+
+base::Duration
+StoreFollower::Backoff()
+{
   unsigned doublings = std::min(this->consecutiveFailures - 1, 4U);
-  base::Duration backoff = std::min<base::Duration>(kMinBackoff * (1U << doublings), kMaxBackoff);
-  double jitter = 0.5 + base::UniformUnit(this->options.random);
-  this->ScheduleCall(base::FromFractionalMillis(base::ToFractionalMillis(backoff) * jitter));
+  return this->Jittered(std::min<base::Duration>(kMinBackoff * (1U << doublings), kMaxBackoff));
+}
+
+base::Duration
+StoreFollower::Jittered(base::Duration aDelay)
+{
+  double factor = 0.5 + base::UniformUnit(this->options.random);
+  return base::FromFractionalMillis(base::ToFractionalMillis(aDelay) * factor);
 }
 
 void
 StoreFollower::Succeed()
 {
   this->consecutiveFailures = 0;
+  this->options.onSourceAnswered(this->source);
   if (this->lost) {
     this->lost = false;
     this->options.onRecovered();
--- a/libs/engine/test/MirrorServerTest.cpp
+++ b/libs/engine/test/MirrorServerTest.cpp
@@ -20,6 +20,7 @@
   WatchedMirror()
   {
     this->codec.readQuery = [](const std::string&) -> std::optional<StoreQuery> {
+      asked = true;
       return StoreQuery{ .kind = StoreKind::Servers, .watchFrom = kListRevision, .wait = 50ms };
     };
     this->codec.writeNoChanges = [](uint64_t) { return std::string("no changes"); };
@@ -32,7 +33,8 @@
     this->follower.connect(this->mirror.LocalEndpoint());
     asio::write(this->follower,
                 asio::buffer(std::string("GET /watch HTTP/1.1\r\nHost: m\r\n\r\n")));
-    while (!this->asked) {
+    asked = false;
+    while (!asked) {
       this->loop.run_one();
     }
   }
@@ -58,17 +60,13 @@
 
   Loop loop;
   StoreCodec codec;
-  bool asked = false;
+  /// The codec consists of plain functions, so that this has to be static.
+  static inline bool asked = false;
   MirrorServer mirror{ MirrorServer::Options{
     .loop = this->loop,
     .codec = this->codec,
     .endpoint = Tcp::endpoint(asio::ip::address_v4::loopback(), 0),
     .freshness = 10s,
-    .followsStore =
-      [this](StoreKind) {
-        this->asked = true;
-        return true;
-      },
     .onQuarantineUpdate = [](const std::string&) { return true; } } };
   Tcp::socket follower{ this->loop };
 };
@@ -85,7 +83,7 @@
                MirroredUpdate::Changes,
                std::make_shared<std::string>("new server"),
                base::Now());
-    this->mirror.AnswerWaiting(StoreKind::Servers);
+    this->mirror.AnswerWaiting(StoreKind::Servers, MirroredUpdate::Changes);
   });
   std::string received = this->Received();
   BOOST_TEST(received.find("new server") != std::string::npos);
