Arm every repeated timer through one class that drops late handlers

The same kind of fault as in the mirror and the session, so the number that tells a late handler now lives in OneShotTimer, which the session, the store's connection, its follower, the registration and the HTTP server use. Ruled out: memory (peak 12 MB). Before: calls_once_when_a_source_comes_as_it_asks_again aborts. After: passes.

--- a/libs/engine/include/engine/ClientSession.h
+++ b/libs/engine/include/engine/ClientSession.h
@@ -2,6 +2,7 @@
 /// a time. Reading continues while a request is served, so that a disconnect is detected.
 #pragma once
 
+#include <engine/OneShotTimer.h>
 #include <engine/RequestHandler.h>
 
 namespace sapphirewind::engine {
@@ -67,17 +68,13 @@
   void OnWritten();
   void Linger();
   void ArmTimer(base::Duration aAfter);
-  void DisarmTimer();
   void OnTimer();
   void Close();
   void ReadNextRequest();
 
   SessionHost& host;
   Tcp::socket socket;
-  Timer timer;
-  /// Identifies the timer's current wait: the handler of an earlier one may already be queued, and
-  /// then runs in spite of a cancel.
-  uint64_t timerNumber = 0;
+  OneShotTimer timer;
   State state = State::Reading;
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
--- a/libs/engine/include/engine/StoreConnection.h
+++ b/libs/engine/include/engine/StoreConnection.h
@@ -4,6 +4,7 @@
 
 #include <engine/Asio.h>
 #include <engine/Metrics.h>
+#include <engine/OneShotTimer.h>
 #include <functional>
 
 namespace sapphirewind::engine {
@@ -35,8 +36,8 @@
     http::verb method = http::verb::get;
     std::string target;
     std::string body;
-    /// Time from the connection to the complete answer, extended by the time that the bytes received
-    /// so far take on a slow link.
+    /// Time from the connection to the complete answer, extended by the time that the bytes
+    /// received so far take on a slow link.
     base::Duration timeout{ 0 };
     /// Counts the calls to the store of this kind.
     Counter kind = Counter::StoreWrite;
@@ -74,10 +75,8 @@
 
   Options options;
   std::shared_ptr<Tcp::socket> socket;
-  Timer timer;
+  OneShotTimer timer;
   OnAnswer onAnswer;
-  /// Identifies the timer's current wait; the handler of an earlier one may already be queued.
-  uint64_t timerNumber = 0;
   /// Sequence number of the current call, so that completions of earlier calls are ignored.
   uint64_t number = 0;
   bool connected = false;
--- a/libs/engine/include/engine/StoreFollower.h
+++ b/libs/engine/include/engine/StoreFollower.h
@@ -10,6 +10,7 @@
 
 #include <base/Random.h>
 #include <directory/MirrorTree.h>
+#include <engine/OneShotTimer.h>
 #include <engine/StoreConnection.h>
 #include <engine/StoreMirror.h>
 #include <engine/Wire.h>
@@ -98,7 +99,7 @@
   Options options;
   std::shared_ptr<StoreConnection> connection;
   StoreSource source;
-  Timer delayTimer;
+  OneShotTimer delayTimer;
   bool listing = true;
   bool hasListed = false;
   bool awaitsSource = false;
--- a/libs/engine/src/ClientSession.cpp
+++ b/libs/engine/src/ClientSession.cpp
@@ -196,7 +196,7 @@
 ClientSession::Dispatch()
 {
   this->state = State::Serving;
-  this->DisarmTimer();
+  this->timer.Disarm();
   auto message = std::make_shared<HttpRequest>(this->parser->release());
   this->keepAlive = message->keep_alive();
   EngineContext& context = this->host.Context();
@@ -221,7 +221,7 @@
     return;
   }
   this->state = State::Serving;
-  this->DisarmTimer();
+  this->timer.Disarm();
   this->Route(std::exchange(this->waitingRequest, nullptr));
 }
 
@@ -344,23 +344,13 @@
 void
 ClientSession::ArmTimer(base::Duration aAfter)
 {
-  uint64_t number = ++this->timerNumber;
-  this->timer.expires_after(aAfter);
-  this->timer.async_wait([self = this->shared_from_this(), number](ErrorCode aError) {
-    bool isCurrent = number == self->timerNumber;
-    if (!aError && isCurrent && self->state != State::Closed) {
+  this->timer.Arm(aAfter, [self = this->shared_from_this()] {
+    if (self->state != State::Closed) {
       self->OnTimer();
     }
   });
 }
 
-void
-ClientSession::DisarmTimer()
-{
-  ++this->timerNumber;
-  this->timer.cancel();
-}
-
 void
 ClientSession::OnTimer()
 {
@@ -410,7 +400,7 @@
     this->handler->Cancel();
     this->handler.reset();
   }
-  this->DisarmTimer();
+  this->timer.Disarm();
   ErrorCode ignored; // The connection is discarded even if closing fails.
   this->socket.close(ignored);
   this->host.OnSessionClosed(this->shared_from_this());
--- a/libs/engine/src/HttpServer.cpp
+++ b/libs/engine/src/HttpServer.cpp
@@ -1,4 +1,5 @@
 #include <engine/HttpServer.h>
+#include <engine/OneShotTimer.h>
 
 namespace sapphirewind::engine {
 
@@ -25,12 +26,7 @@
   void Read()
   {
     auto self = this->shared_from_this();
-    this->timer.expires_after(kIdleTimeout);
-    this->timer.async_wait([self](ErrorCode aError) {
-      if (!aError) {
-        self->Close();
-      }
-    });
+    this->timer.Arm(kIdleTimeout, [self] { self->Close(); });
     this->request = {};
     http::async_read(this->socket, this->buffer, this->request, [self](ErrorCode aError, size_t) {
       if (aError) {
@@ -61,14 +57,14 @@
 
   void Close()
   {
-    this->timer.cancel();
+    this->timer.Disarm();
     ErrorCode ignored; // The socket is discarded in any case.
     this->socket.close(ignored);
   }
 
   HttpServer::Handler handler;
   Tcp::socket socket;
-  Timer timer;
+  OneShotTimer timer;
   boost::beast::flat_buffer buffer;
   HttpRequest request;
   HttpResponse response;
--- a/libs/engine/src/InstanceRegistration.cpp
+++ b/libs/engine/src/InstanceRegistration.cpp
@@ -41,7 +41,7 @@
 void
 InstanceRegistration::Stop()
 {
-  this->timer.cancel();
+  this->timer.Disarm();
   this->connection->Stop();
 }
 
@@ -212,12 +212,7 @@
 void
 InstanceRegistration::Schedule(base::Duration aDelay)
 {
-  this->timer.expires_after(aDelay);
-  this->timer.async_wait([self = this->shared_from_this()](ErrorCode aError) {
-    if (!aError) {
-      self->RunNext();
-    }
-  });
+  this->timer.Arm(aDelay, [self = this->shared_from_this()] { self->RunNext(); });
 }
 
 void
--- a/libs/engine/src/InstanceRegistration.h
+++ b/libs/engine/src/InstanceRegistration.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <directory/InstanceTracker.h>
+#include <engine/OneShotTimer.h>
 #include <engine/ServiceCall.h>
 #include <engine/StoreConnection.h>
 
@@ -50,7 +51,7 @@
 
   Options options;
   std::shared_ptr<StoreConnection> connection;
-  Timer timer;
+  OneShotTimer timer;
   directory::InstanceTracker tracker;
   std::vector<std::string> expired;
   base::Instant startedAt{};
--- a/libs/engine/src/StoreConnection.cpp
+++ b/libs/engine/src/StoreConnection.cpp
@@ -83,15 +83,9 @@
 void
 StoreConnection::ArmTimer(base::Duration aAfter, const char* aCause)
 {
-  uint64_t timerNumber = ++this->timerNumber;
-  this->timer.expires_after(aAfter);
-  this->timer.async_wait(
-    [self = this->shared_from_this(), timerNumber, current = this->number, aCause](
-      ErrorCode aError) {
-      if (!aError && timerNumber == self->timerNumber) {
-        self->Fail(current, aCause);
-      }
-    });
+  this->timer.Arm(aAfter, [self = this->shared_from_this(), current = this->number, aCause] {
+    self->Fail(current, aCause);
+  });
 }
 
 void
@@ -167,7 +161,7 @@
     return;
   }
   ++this->number;
-  this->timer.cancel();
+  this->timer.Disarm();
   if (!aResponse.keep_alive()) {
     this->Disconnect();
   }
@@ -188,7 +182,7 @@
 StoreConnection::Disconnect()
 {
   this->connected = false;
-  this->timer.cancel();
+  this->timer.Disarm();
   if (this->socket) {
     ErrorCode ignored; // The socket is discarded in any case.
     this->socket->close(ignored);
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -68,7 +68,7 @@
 StoreFollower::Stop()
 {
   this->stopped = true;
-  this->delayTimer.cancel();
+  this->delayTimer.Disarm();
   if (this->connection) {
     this->connection->Stop();
   }
@@ -293,12 +293,7 @@
 void
 StoreFollower::ScheduleCall(base::Duration aDelay)
 {
-  this->delayTimer.expires_after(aDelay);
-  this->delayTimer.async_wait([self = this->shared_from_this()](ErrorCode aError) {
-    if (!aError && !self->stopped) {
-      self->Call();
-    }
-  });
+  this->delayTimer.Arm(aDelay, [self = this->shared_from_this()] { self->Call(); });
 }
 
 } // namespace sapphirewind::engine
