Count extra attempts over a sliding window, and spread those who turn away from a mirror

All instances turned to the same four when their mirror failed; beyond twelve watches a mirror refuses. Three alternates by hash before them; the delay before the store is 60 ms a place (150).

--- a/libs/directory/include/directory/MirrorTree.h
+++ b/libs/directory/include/directory/MirrorTree.h
@@ -23,8 +23,14 @@
 /// Number of instances that follow one mirror: each relays a configuration of 256 KB in 0.4 s on a
 /// link of 20 Mbit/s. With three or four, the time to reach all is shortest.
 constexpr size_t kMirrorFanOut = 4;
+/// Watches of a kind that a mirror lets wait; it refuses further ones, so that failures elsewhere
+/// do not overload a small machine.
+constexpr size_t kMaxMirrorFollowers = 3 * kMirrorFanOut;
 /// Instances at the start of the order that every later one may turn to when its mirror fails.
 constexpr size_t kMirrorReserves = 4;
+/// Further instances that one may turn to, different ones for each, so that many can turn away from
+/// a failed part of the tree at once.
+constexpr size_t kMirrorAlternates = 3;
 
 /// The place of one instance in the tree.
 struct MirrorPlan
--- a/libs/directory/src/MirrorTree.cpp
+++ b/libs/directory/src/MirrorTree.cpp
@@ -14,7 +14,7 @@
 constexpr base::Duration kMaxNotCurrentCooldown = std::chrono::milliseconds(800);
 /// Delay, for each position in the order, before an instance without a usable mirror goes to the
 /// store: long enough for the one before it to have read the store.
-constexpr base::Duration kStoreDelayPerRank = std::chrono::milliseconds(150);
+constexpr base::Duration kStoreDelayPerRank = std::chrono::milliseconds(60);
 /// An instance that follows the store turns to mirrors after this many failures in a row, and tries
 /// the store again after the time below.
 constexpr unsigned kStoreFailureLimit = 2;
@@ -95,6 +95,9 @@
   };
   if (!plan.followsStore) {
     add((plan.rank - kMirrorRoots) / kMirrorFanOut);
+    for (size_t alternate = 0; alternate < kMirrorAlternates; ++alternate) {
+      add(base::Hash64(aInstance + "/" + std::to_string(alternate)) % plan.rank);
+    }
   }
   // An instance among the reserves turns only to those before it, so that none follows itself in a
   // circle; the roots turn to each other.
--- a/libs/directory/test/MirrorTreeTest.cpp
+++ b/libs/directory/test/MirrorTreeTest.cpp
@@ -49,6 +49,7 @@
   void Run(base::Duration aFor)
   {
     for (base::Instant end = this->now + aFor; this->now < end; this->now += kStep) {
+      this->followers.clear();
       for (auto& [name, member] : this->members) {
         if (!member.down) {
           this->Call(name, member);
@@ -71,6 +72,14 @@
     }
   }
 
+  /// Cuts every third instance, and the first ones of the order, from the store.
+  void CutThirdFromStore(size_t aFirst)
+  {
+    for (auto& [name, member] : this->members) {
+      member.cut = member.state.plan.rank < aFirst || member.state.plan.rank % 3 == 0;
+    }
+  }
+
   size_t CountCurrent() const
   {
     return static_cast<size_t>(
@@ -140,7 +149,8 @@
   void CallMirror(Member& aMember, const InstanceEntry& aMirror)
   {
     const Member& mirror = this->members.at(aMirror.name);
-    if (mirror.down || !this->IsCurrent(mirror)) {
+    bool isFull = ++this->followers[aMirror.name] > kMaxMirrorFollowers;
+    if (mirror.down || isFull || !this->IsCurrent(mirror)) {
       OnMirrorFailed(aMember.state,
                      aMirror.address,
                      mirror.down ? MirrorFailure::Unreachable : MirrorFailure::NotCurrent,
@@ -154,6 +164,8 @@
 
   InstanceTracker tracker;
   std::map<std::string, Member> members;
+  /// Calls to each mirror in this step.
+  std::map<std::string, size_t> followers;
   base::Instant now = kStart;
 };
 
@@ -278,6 +290,19 @@
   BOOST_TEST(region.CountCurrent() >= 298U);
 }
 
+BOOST_AUTO_TEST_CASE(reach_those_that_the_store_turns_away_through_the_others)
+{
+  for (size_t first : { 0, 1, 2 }) {
+    Region region(300);
+    region.Run(2s);
+    region.CutThirdFromStore(first);
+    region.Run(6s);
+    BOOST_TEST(region.CountCurrent() >= 297U);
+    region.Run(10s);
+    BOOST_TEST(region.CountCurrent() >= 297U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(spare_a_store_that_is_down_the_calls_of_all)
 {
   Region region(300);
--- a/libs/engine/include/engine/Settings.h
+++ b/libs/engine/include/engine/Settings.h
@@ -32,6 +32,8 @@
   /// requests, and a number in addition to that share.
   double extraShare = 0.2;
   double extraMinimum = 0.0;
+  /// That window.
+  base::Duration extraWindow = std::chrono::seconds(10);
   /// How long a watch at the store may wait. An unresponsive connection is detected shortly after
   /// this, which must be well before the deadline for sending to a draining server.
   base::Duration watchWait = std::chrono::seconds(2);
--- a/libs/engine/include/engine/UpstreamPool.h
+++ b/libs/engine/include/engine/UpstreamPool.h
@@ -3,11 +3,11 @@
 #pragma once
 
 #include <directory/RouteTable.h>
+#include <dispatch/AttemptBudget.h>
 #include <dispatch/ConnectionShare.h>
 #include <dispatch/Split.h>
 #include <engine/UpstreamServer.h>
 #include <map>
-#include <routing/Hedge.h>
 #include <string>
 #include <unordered_map>
 
@@ -28,6 +28,8 @@
     double extraShare = 0.2;
     /// Retries and hedges allowed per window in addition to that share, for all instances together.
     double extraMinimum = 0.0;
+    /// The window in which the platform counts them.
+    base::Duration extraWindow = std::chrono::seconds(10);
   };
 
   using Servers = std::vector<std::shared_ptr<UpstreamServer>>;
@@ -50,7 +52,10 @@
   std::shared_ptr<dispatch::ServiceTimeEstimate> ServiceTimeOf(const std::string& aRoute);
 
   /// The budget for retries and hedges of a service.
-  routing::AttemptBudget& BudgetOf(const std::string& aService);
+  dispatch::AttemptBudget& BudgetOf(const std::string& aService);
+
+  /// This instance's part of the extra attempts allowed for each service.
+  dispatch::AttemptLimits ExtraAttemptLimits() const;
 
   dispatch::SplitState& SplitOf(const std::string& aRoute);
 
@@ -90,7 +95,7 @@
   std::map<std::string, std::shared_ptr<UpstreamServer>> byId;
   std::unordered_map<std::string, Servers> byService;
   std::unordered_map<std::string, std::shared_ptr<dispatch::ServiceTimeEstimate>> serviceTimes;
-  std::unordered_map<std::string, routing::AttemptBudget> budgets;
+  std::unordered_map<std::string, dispatch::AttemptBudget> budgets;
   std::unordered_map<std::string, dispatch::SplitState> splits;
   std::shared_ptr<uint64_t> bufferedBytes = std::make_shared<uint64_t>(0);
 };
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -48,7 +48,8 @@
                                        .zone = this->settings.zone,
                                        .regions = this->settings.regions,
                                        .extraShare = this->settings.extraShare,
-                                       .extraMinimum = this->settings.extraMinimum })
+                                       .extraMinimum = this->settings.extraMinimum,
+                                       .extraWindow = this->settings.extraWindow })
     , crashGuard(CrashGuard::Options{
         .notifyPeers =
           [this](const std::string& aMessage) { this->clusterState.NotifyPeers(aMessage); } })
--- a/libs/engine/src/MirrorServer.cpp
+++ b/libs/engine/src/MirrorServer.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// Watches of a kind that may wait here; further ones are refused, so that failures elsewhere do
-/// not overload a small machine.
-constexpr size_t kMaxWaiting = 3 * directory::kMirrorFanOut;
-
 HttpResponse
 WithStatus(http::status aStatus)
 {
@@ -115,7 +111,7 @@
       aRespond(this->Relay(aQuery.kind, *answer.body));
       return;
     case WatchStatus::Wait:
-      if (this->CountWaiting(aQuery.kind) >= kMaxWaiting) {
+      if (this->CountWaiting(aQuery.kind) >= directory::kMaxMirrorFollowers) {
         aRespond(WithStatus(http::status::service_unavailable));
         return;
       }
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -30,7 +30,9 @@
 void
 ServiceCall::Start(base::Instant aNow)
 {
-  routing::Deposit(this->options.context.upstreams.BudgetOf(this->options.service));
+  UpstreamPool& upstreams = this->options.context.upstreams;
+  dispatch::CountRequest(
+    upstreams.BudgetOf(this->options.service), upstreams.ExtraAttemptLimits(), aNow);
   this->sendDue = true;
   this->Advance(aNow);
 }
@@ -90,16 +92,17 @@
 bool
 ServiceCall::AdmitExtraAttempt(const UpstreamServer& aServer, base::Instant aNow)
 {
-  routing::AttemptBudget& budget = this->options.context.upstreams.BudgetOf(this->options.service);
+  dispatch::AttemptBudget& budget = this->options.context.upstreams.BudgetOf(this->options.service);
+  dispatch::AttemptLimits limits = this->options.context.upstreams.ExtraAttemptLimits();
   dispatch::ExtraAttempt extra{ .expected = dispatch::ExpectedLatency(
                                   aServer.State(), *this->serviceTime, aNow),
                                 .answerBy = this->options.answerBy,
-                                .remainingBudget = budget.tokens / budget.capacity,
+                                .remainingBudget = dispatch::RemainingBudget(budget, limits, aNow),
                                 .shortfall = this->shortfall };
   if (!dispatch::ShouldSendExtraAttempt(extra, aNow)) {
     return false;
   }
-  if (!routing::TryWithdraw(budget)) {
+  if (!dispatch::TryWithdraw(budget, limits, aNow)) {
     this->options.context.metrics.Count(Counter::BudgetExhausted);
     return false;
   }
--- a/libs/engine/src/Settings.cpp
+++ b/libs/engine/src/Settings.cpp
@@ -65,6 +65,7 @@
   base::Duration stability = reader.RequiredDuration("stability_window");
   settings.watchWait = std::max<base::Duration>(kMinWatchWait, stability - kDetectionMargin);
   settings.drain = reader.RequiredDuration("drain");
+  settings.extraWindow = reader.RequiredDuration("extra_window");
   settings.stopWithin = reader.RequiredDuration("stop_within");
   if (const Json::Value* regions = reader.RequiredObject("regions")) {
     for (const std::string& zone : regions->getMemberNames()) {
--- a/libs/engine/src/UpstreamPool.cpp
+++ b/libs/engine/src/UpstreamPool.cpp
@@ -163,18 +163,19 @@
   return estimate;
 }
 
-routing::AttemptBudget&
+dispatch::AttemptBudget&
 UpstreamPool::BudgetOf(const std::string& aService)
 {
-  auto [budget, isNew] = this->budgets.try_emplace(aService);
-  double maxTokens =
-    kUsableMinimum * this->options.extraMinimum / static_cast<double>(this->instances);
-  budget->second.share = kUsableShare * this->options.extraShare;
-  budget->second.capacity = std::max(1.0, maxTokens);
-  if (isNew) {
-    budget->second.tokens = budget->second.capacity;
-  }
-  return budget->second;
+  return this->budgets[aService];
+}
+
+dispatch::AttemptLimits
+UpstreamPool::ExtraAttemptLimits() const
+{
+  return { .share = kUsableShare * this->options.extraShare,
+           .minimum =
+             kUsableMinimum * this->options.extraMinimum / static_cast<double>(this->instances),
+           .window = this->options.extraWindow };
 }
 
 dispatch::SplitState&
@@ -198,7 +199,7 @@
     }
   }
   for (const auto& [service, budget] : this->budgets) {
-    double remaining = budget.tokens / budget.capacity;
+    double remaining = dispatch::RemainingBudget(budget, this->ExtraAttemptLimits(), aNow);
     if (remaining < summary.lowestBudget) {
       summary.lowestBudget = remaining;
       summary.lowestBudgetService = service;
--- a/libs/engine/test/SettingsTest.cpp
+++ b/libs/engine/test/SettingsTest.cpp
@@ -13,7 +13,7 @@
   "instance": "i", "zone": "a", "regions": { "a": "r" },
   "listen_callers": "127.0.0.1:1", "listen_status": "127.0.0.1:2",
   "listen_metrics": "127.0.0.1:3", "listen_peers": "127.0.0.1:4", "store": "127.0.0.1:5",
-  "max_descriptors": 4100, "extra_share": 0.2, "extra_minimum": 52,
+  "max_descriptors": 4100, "extra_share": 0.2, "extra_minimum": 52, "extra_window": "10s",
   "stability_window": "5000ms", "drain": "4000ms", "stop_within": "6s"
 })";
   return aFrom.empty() ? text : text.replace(text.find(aFrom), aFrom.size(), aTo);
--- a/test/program.sh
+++ b/test/program.sh
@@ -15,7 +15,7 @@
   "instance": "one", "zone": "a", "regions": {"a": "r"}, "listen_callers": "127.0.0.1:$base",
   "listen_status": "127.0.0.1:$((base + 1))", "listen_metrics": "127.0.0.1:$((base + 2))",
   "listen_peers": "127.0.0.1:$((base + 3))", "store": "127.0.0.1:$((base + 4))", "max_descriptors": 400,
-  "extra_share": 0.2, "extra_minimum": 50, "stability_window": "5000ms", "drain": "4000ms", "stop_within": "6s"
+  "extra_share": 0.2, "extra_minimum": 50, "extra_window": "10s", "stability_window": "5000ms", "drain": "4000ms", "stop_within": "6s"
 }
 EOF
 }
--- a/test/soak/ProcessCluster.cpp
+++ b/test/soak/ProcessCluster.cpp
@@ -115,6 +115,7 @@
   settings["max_descriptors"] = 512;
   settings["extra_share"] = 0.2;
   settings["extra_minimum"] = 50;
+  settings["extra_window"] = "10s";
   settings["stability_window"] = "3000ms";
   settings["drain"] = "3000ms";
   settings["stop_within"] = "5s";
