Let instances without a current mirror find one faster

Now one reserve each, by hash, a cooldown of 0.15 to 0.4 s, and the store after 1 s at most (an eighth of the drain time).

--- a/libs/directory/include/directory/MirrorTree.h
+++ b/libs/directory/include/directory/MirrorTree.h
@@ -26,7 +26,8 @@
 /// Watches of a kind that a mirror lets wait; it refuses further ones, so that failures elsewhere
 /// do not overload a small machine.
 constexpr size_t kMaxMirrorFollowers = 3 * kMirrorFanOut;
-/// Instances at the start of the order that every later one may turn to when its mirror fails.
+/// Instances at the start of the order, of which every later one may turn to one when its mirror
+/// fails.
 constexpr size_t kMirrorReserves = 4;
 /// Further instances that one may turn to, different ones for each, so that many can turn away from
 /// a failed part of the tree at once.
--- a/libs/directory/src/MirrorTree.cpp
+++ b/libs/directory/src/MirrorTree.cpp
@@ -10,8 +10,8 @@
 /// How long a mirror is not used after it failed; doubles with each failure in a row.
 constexpr base::Duration kUnreachableCooldown = std::chrono::seconds(3);
 constexpr base::Duration kMaxUnreachableCooldown = std::chrono::seconds(48);
-constexpr base::Duration kNotCurrentCooldown = std::chrono::milliseconds(200);
-constexpr base::Duration kMaxNotCurrentCooldown = std::chrono::milliseconds(800);
+constexpr base::Duration kNotCurrentCooldown = std::chrono::milliseconds(150);
+constexpr base::Duration kMaxNotCurrentCooldown = std::chrono::milliseconds(400);
 /// Delay, for each position in the order, before an instance without a usable mirror goes to the
 /// store: long enough for the one before it to have read the store.
 constexpr base::Duration kStoreDelayPerRank = std::chrono::milliseconds(60);
@@ -99,11 +99,12 @@
       add(base::Hash64(aInstance + "/" + std::to_string(alternate)) % plan.rank);
     }
   }
-  // An instance among the reserves turns only to those before it, so that none follows itself in a
-  // circle; the roots turn to each other.
-  size_t reserves = plan.followsStore ? kMirrorRoots : std::min(plan.rank, kMirrorReserves);
-  for (size_t rank = 0; rank < reserves; ++rank) {
-    add(rank);
+  // All candidates come before the instance, so that none follows itself in a circle; only the
+  // roots turn to each other.
+  if (plan.followsStore) {
+    add(1 - plan.rank);
+  } else {
+    add(base::Hash64(aInstance) % std::min(plan.rank, kMirrorReserves));
   }
   return plan;
 }
--- a/libs/engine/src/ClusterState.cpp
+++ b/libs/engine/src/ClusterState.cpp
@@ -21,7 +21,7 @@
 constexpr base::Duration kMaxSettleTime = std::chrono::milliseconds(3000);
 /// An instance that has run out of mirrors goes to the store at the latest after this fraction
 /// (1/n) of the time within which a draining server must stop receiving requests.
-constexpr int kMaxStoreDelayDivisor = 4;
+constexpr int kMaxStoreDelayDivisor = 8;
 
 /// Timeout of an update to another instance: two round trips between regions, plus scheduling.
 constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(500);
