--- a/libs/dispatch/src/Upstream.cpp
+++ b/libs/dispatch/src/Upstream.cpp
@@ -27,7 +27,7 @@
 /// A server in another region is selected only if it is expected to be faster by this multiple of
 /// its round-trip time, as traffic between regions is charged and its delay varies.
 constexpr double kRemoteMargin = 2.0;
-/// Bounds on the reported slowdown that is believed.
+/// Reported slowdowns are clamped to this range.
 constexpr double kMinReportedSlowdown = 0.5;
 constexpr double kMaxReportedSlowdown = 10.0;
 
@@ -55,7 +55,7 @@
   return aNow < aUpstream.coldUntil ? std::max(decayed, kColdStartSlowdown) : decayed;
 }
 
-/// The slowdown of the server's machine at the moment, as far as its last report still tells it.
+/// The reported slowdown of the server's machine, decayed by the age of the report.
 double
 CurrentReportedSlowdown(const Upstream& aUpstream, base::Instant aNow)
 {
@@ -217,7 +217,7 @@
     std::max<base::Duration>(aNow - request->sentAt - aUpstream.roundTrip, base::Duration(100));
   double expected = static_cast<double>(aServiceTime.mean.count());
   if (aServiceTime.samples > 0) {
-    // The momentary pace is reported with the answer; what remains is the server's own.
+    // The machine's slowdown is reported with the answer; the rest is the server's own slowdown.
     double pace = CurrentReportedSlowdown(aUpstream, aNow);
     UpdateSlowdown(aUpstream, static_cast<double>(service.count()) / (expected * pace), aNow);
   }
--- a/libs/dispatch/test/UpstreamTest.cpp
+++ b/libs/dispatch/test/UpstreamTest.cpp
@@ -100,7 +100,7 @@
   BOOST_TEST(service.near.slowdown < 1.05);
 }
 
-BOOST_AUTO_TEST_CASE(believes_only_a_plausible_pace)
+BOOST_AUTO_TEST_CASE(clamps_an_implausible_pace)
 {
   Service service;
   OnLoadReport(service.near, { .slots = 3, .workPercent = 4000000000U }, kStart);
--- a/libs/engine/src/MirrorServer.h
+++ b/libs/engine/src/MirrorServer.h
@@ -40,8 +40,8 @@
 
   MirrorCache& CacheOf(StoreKind aKind);
 
-  /// Answers the waiting watches of a kind for which there are changes now. The others stay, or,
-  /// after an answer without changes, learn from it that the data is still current.
+  /// Answers the waiting watches of a kind for which there are changes now. After an update without
+  /// changes it also answers the others, so that followers know that the data is current.
   void AnswerWaiting(StoreKind aKind, MirroredUpdate aUpdate);
 
   /// Answers all waiting watches of a kind with 503, so that they use another source.
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -94,8 +94,8 @@
   dispatch::Upstream& state = this->server->State();
   base::Instant now = base::Now();
   bool wasEjected = dispatch::IsEjected(state, now);
-  // The report of an answer tells the pace at which the answer was made; that of a refusal corrects
-  // the queue that a refusal implies.
+  // OnAnswered divides by the slowdown in the answer's report, so that report is recorded first. A
+  // refusal's report overrides the queue length that OnRefused assumes, so it is recorded last.
   bool answered = aResult.outcome == dispatch::AttemptOutcome::Answered;
   if (answered) {
     this->RecordLoad(aResult, now);
