Log how calls to the store end, what a configuration costs to read, and a stalled event loop

E0216 StoreCallFailed (source, cause, bytes, time), E0111 LoopStalled (from 250 ms), and four more fields of E0200. Ruled out: more metrics, as the moments and the source matter. No decision changes; test_engine and test_whole_engine pass.

--- a/libs/engine/include/engine/StoreConnection.h
+++ b/libs/engine/include/engine/StoreConnection.h
@@ -14,6 +14,10 @@
 {
   std::optional<HttpResponse> response;
   const char* cause = "";
+  /// Bytes received, also when the answer is incomplete.
+  uint64_t received = 0;
+  /// Time since the call was made, including the connect.
+  base::Duration took{ 0 };
 };
 
 class StoreConnection : public std::enable_shared_from_this<StoreConnection>
@@ -77,6 +81,9 @@
   std::shared_ptr<Tcp::socket> socket;
   OneShotTimer timer;
   OnAnswer onAnswer;
+  /// Of the current call, for its answer.
+  base::Instant startedAt{};
+  uint64_t received = 0;
   /// Sequence number of the current call, so that completions of earlier calls are ignored.
   uint64_t number = 0;
   bool connected = false;
--- a/libs/engine/include/engine/StoreFollower.h
+++ b/libs/engine/include/engine/StoreFollower.h
@@ -18,6 +18,10 @@
 
 namespace sapphirewind::engine {
 
+/// The name of a kind in log records.
+const char*
+NameOf(StoreKind aKind);
+
 /// Where a follower reads from: the store, or an instance that mirrors it.
 struct StoreSource
 {
@@ -35,6 +39,15 @@
   Watch
 };
 
+/// What the last answer cost, for log records.
+struct ReadCost
+{
+  uint64_t bytes = 0;
+  /// From the call to the complete answer.
+  base::Duration took{ 0 };
+  base::Duration decoding{ 0 };
+};
+
 class StoreFollower : public std::enable_shared_from_this<StoreFollower>
 {
 public:
@@ -77,6 +90,7 @@
   void Relist();
 
   const StoreSource& Source() const { return this->source; }
+  const ReadCost& LastRead() const { return this->lastRead; }
 
   /// Calls the next source now if the follower waits for one, for example once mirrors are known.
   void OnSourcesChanged();
@@ -99,6 +113,7 @@
   Options options;
   std::shared_ptr<StoreConnection> connection;
   StoreSource source;
+  ReadCost lastRead;
   OneShotTimer delayTimer;
   bool listing = true;
   bool hasListed = false;
--- a/libs/engine/src/ClusterSources.cpp
+++ b/libs/engine/src/ClusterSources.cpp
@@ -24,12 +24,6 @@
 
 } // namespace
 
-const char*
-NameOf(StoreKind aKind)
-{
-  return aKind == StoreKind::Servers ? "servers" : "configuration";
-}
-
 base::Duration
 ClusterState::MirrorWait() const
 {
--- a/libs/engine/src/ClusterState.cpp
+++ b/libs/engine/src/ClusterState.cpp
@@ -167,6 +167,7 @@
 void
 ClusterState::OnConfigurations(const std::vector<StoredObject>& aObjects)
 {
+  const ReadCost& cost = this->configurationFollower->LastRead();
   for (const StoredObject& object : aObjects) {
     if (!object.problem.empty()) {
       LogMalformed(object);
@@ -182,7 +183,11 @@
     telemetry::Log(telemetry::Event::ConfigurationInForce,
                    { { "version", this->routes->Current().version },
                      { "revision", object.revision },
-                     { "routes", this->routes->Current().routes.size() } });
+                     { "routes", this->routes->Current().routes.size() },
+                     { "from_mirror", this->configurationFollower->Source().isMirror },
+                     { "bytes", cost.bytes },
+                     { "took_ms", base::ToMillis(cost.took) },
+                     { "decoding_ms", base::ToMillis(cost.decoding) } });
   }
   this->UpdateUpstreams();
 }
--- a/libs/engine/src/ClusterState.h
+++ b/libs/engine/src/ClusterState.h
@@ -10,10 +10,6 @@
 
 namespace sapphirewind::engine {
 
-/// The name of a kind in log records.
-const char*
-NameOf(StoreKind aKind);
-
 class ClusterState
 {
 public:
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -27,6 +27,9 @@
 /// How often a stopping instance checks whether the last caller's connection is closed.
 constexpr base::Duration kStopPollInterval = std::chrono::milliseconds(50);
 
+/// A delay of handlers that is logged; on an unloaded machine they run within a millisecond.
+constexpr base::Duration kStallThreshold = std::chrono::milliseconds(250);
+
 std::string
 RegionOf(const Settings& aSettings)
 {
@@ -246,6 +249,11 @@
     base::Instant now = base::Now();
     auto lag = std::chrono::duration_cast<base::Duration>(now - this->maintenanceTimer.expiry());
     this->metrics.ObserveLoopLag(std::max(base::Duration(0), lag));
+    if (lag >= kStallThreshold) {
+      telemetry::Log(telemetry::Event::LoopStalled,
+                     { { "lag_ms", base::ToMillis(lag) },
+                       { "sessions", this->ingress.Sessions() } });
+    }
     this->clusterState.RunMaintenance(now);
     this->upstreams.CloseExpired(now);
     this->crashGuard.RunMaintenance(now);
--- a/libs/engine/src/StoreConnection.cpp
+++ b/libs/engine/src/StoreConnection.cpp
@@ -45,6 +45,8 @@
   this->options.metrics.Count(this->options.toInstance ? Counter::PeerCall : Counter::StoreCall);
   this->options.metrics.Count(aCall.kind, this->options.toInstance ? 0 : 1);
   uint64_t current = ++this->number;
+  this->startedAt = base::Now();
+  this->received = 0;
   auto exchange = std::make_shared<Exchange>();
   exchange->timeout = aCall.timeout;
   exchange->request = HttpRequest(aCall.method, aCall.target, 11);
@@ -118,6 +120,9 @@
     aExchange->parser,
     [self, aExchange, aNumber, currentSocket = this->socket](ErrorCode aError, size_t aCount) {
       aExchange->received += aCount;
+      if (aNumber == self->number) {
+        self->received = aExchange->received;
+      }
       if (aError) {
         self->Fail(aNumber, "response incomplete");
         return;
@@ -151,7 +156,9 @@
   this->Disconnect();
   OnAnswer callback = std::move(this->onAnswer);
   this->onAnswer = nullptr;
-  callback(StoreAnswer{ .cause = aCause });
+  callback(StoreAnswer{ .cause = aCause,
+                        .received = this->received,
+                        .took = base::Now() - this->startedAt });
 }
 
 void
@@ -167,7 +174,9 @@
   }
   OnAnswer callback = std::move(this->onAnswer);
   this->onAnswer = nullptr;
-  callback(StoreAnswer{ .response = std::move(aResponse) });
+  callback(StoreAnswer{ .response = std::move(aResponse),
+                        .received = this->received,
+                        .took = base::Now() - this->startedAt });
 }
 
 void
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -52,6 +52,12 @@
 
 } // namespace
 
+const char*
+NameOf(StoreKind aKind)
+{
+  return aKind == StoreKind::Servers ? "servers" : "configuration";
+}
+
 StoreFollower::StoreFollower(Options aOptions)
   : options(std::move(aOptions))
   , delayTimer(this->options.loop)
@@ -156,6 +162,7 @@
 void
 StoreFollower::OnAnswer(StoreAnswer&& aAnswer)
 {
+  this->lastRead = { .bytes = aAnswer.received, .took = aAnswer.took };
   if (!aAnswer.response) {
     this->Fail(aAnswer.cause, directory::MirrorFailure::Unreachable);
     return;
@@ -187,8 +194,10 @@
 void
 StoreFollower::OnListPage(HttpResponse&& aResponse)
 {
+  base::Instant decodingSince = base::Now();
   std::optional<StorePage> page =
     this->options.codec.readList(this->options.kind, aResponse.body());
+  this->lastRead.decoding = base::Now() - decodingSince;
   if (!page) {
     this->Fail("malformed list", directory::MirrorFailure::Unreachable);
     return;
@@ -220,8 +229,10 @@
 void
 StoreFollower::OnChanges(HttpResponse&& aResponse)
 {
+  base::Instant decodingSince = base::Now();
   std::optional<StorePage> page =
     this->options.codec.readChanges(this->options.kind, aResponse.body());
+  this->lastRead.decoding = base::Now() - decodingSince;
   if (!page) {
     this->Fail("malformed changes", directory::MirrorFailure::Unreachable);
     return;
@@ -243,6 +254,14 @@
 void
 StoreFollower::Fail(const char* aCause, directory::MirrorFailure aFailure)
 {
+  telemetry::Log(telemetry::Event::StoreCallFailed,
+                 { { "follows", NameOf(this->options.kind) },
+                   { "source", FormatEndpoint(this->source.endpoint) },
+                   { "from_mirror", this->source.isMirror },
+                   { "call", this->listing ? "list" : "watch" },
+                   { "why", aCause },
+                   { "received", this->lastRead.bytes },
+                   { "took_ms", base::ToMillis(this->lastRead.took) } });
   this->RestartList();
   this->options.onSourceFailed(this->source, aFailure);
   ++this->consecutiveFailures;
