--- a/libs/engine/include/engine/StoreFollower.h
+++ b/libs/engine/include/engine/StoreFollower.h
@@ -72,9 +72,9 @@
     std::function<void(uint64_t, MirroredUpdate, std::shared_ptr<const std::string>, base::Instant)>
       onChangesBody;
     /// Called with a complete list and the store's revision that it reflects.
-    std::function<void(const std::vector<StoredObject>&, uint64_t)> onList;
+    std::function<void(std::vector<StoredObject>&&, uint64_t)> onList;
     /// Called with changes, in the order of their revisions.
-    std::function<void(const std::vector<StoredObject>&)> onChanges;
+    std::function<void(std::vector<StoredObject>&&)> onChanges;
     /// Called when the store stops answering this instance, and when it answers again; onRecovered
     /// runs before the callbacks for the contents of that answer.
     std::function<void(const char* aCause)> onLost;
--- a/libs/engine/src/ClusterState.cpp
+++ b/libs/engine/src/ClusterState.cpp
@@ -100,21 +100,21 @@
         this->OnChangesBody(aKind, aTo, aUpdate, std::move(aBody), aAnsweredAt);
       },
     .onList =
-      [this, aKind, followsServers](const Objects& aObjects, uint64_t aRevision) {
+      [this, aKind, followsServers](Objects&& aObjects, uint64_t aRevision) {
         CommitList(this->mirror.CacheOf(aKind), aRevision);
         this->mirror.AnswerWaiting(aKind, MirroredUpdate::Changes);
         if (followsServers) {
           this->OnServerList(aObjects, aRevision);
         } else {
-          this->OnConfigurations(aObjects);
+          this->OnConfigurations(std::move(aObjects));
         }
       },
     .onChanges =
-      [this, followsServers](const Objects& aObjects) {
+      [this, followsServers](Objects&& aObjects) {
         if (followsServers) {
           this->OnServerChanges(aObjects);
         } else {
-          this->OnConfigurations(aObjects);
+          this->OnConfigurations(std::move(aObjects));
         }
       },
     .onLost = [this, aKind](const char* aCause) { this->OnLost(aKind, aCause); },
@@ -165,33 +165,44 @@
 }
 
 void
-ClusterState::OnConfigurations(const std::vector<StoredObject>& aObjects)
+ClusterState::OnConfigurations(std::vector<StoredObject>&& aObjects)
 {
-  const ReadCost& cost = this->configurationFollower->LastRead();
-  for (const StoredObject& object : aObjects) {
+  std::optional<uint64_t> version;
+  if (this->routes) {
+    version = this->routes->Current().version;
+  }
+  StoredObject* newest = nullptr;
+  for (StoredObject& object : aObjects) {
     if (!object.problem.empty()) {
       LogMalformed(object);
-      continue;
     }
-    bool isNewer = object.configuration && (!this->routes || object.configuration->version >
-                                                               this->routes->Current().version);
-    if (!isNewer) {
-      continue;
+    if (object.configuration && (!version || object.configuration->version > *version)) {
+      version = object.configuration->version;
+      newest = &object;
     }
-    this->routes = std::make_shared<const directory::RouteTable>(*object.configuration);
-    this->routesSince = base::Now();
-    telemetry::Log(telemetry::Event::ConfigurationInForce,
-                   { { "version", this->routes->Current().version },
-                     { "revision", object.revision },
-                     { "routes", this->routes->Current().routes.size() },
-                     { "from_mirror", this->configurationFollower->Source().isMirror },
-                     { "bytes", cost.bytes },
-                     { "took_ms", base::ToMillis(cost.took) },
-                     { "decoding_ms", base::ToMillis(cost.decoding) } });
+  }
+  if (newest != nullptr) {
+    this->PutInForce(std::move(*newest));
   }
   this->UpdateUpstreams();
 }
 
+void
+ClusterState::PutInForce(StoredObject&& aObject)
+{
+  this->routes = std::make_shared<const directory::RouteTable>(std::move(*aObject.configuration));
+  this->routesSince = base::Now();
+  const ReadCost& cost = this->configurationFollower->LastRead();
+  telemetry::Log(telemetry::Event::ConfigurationInForce,
+                 { { "version", this->routes->Current().version },
+                   { "revision", aObject.revision },
+                   { "routes", this->routes->Current().routes.size() },
+                   { "from_mirror", this->configurationFollower->Source().isMirror },
+                   { "bytes", cost.bytes },
+                   { "took_ms", base::ToMillis(cost.took) },
+                   { "decoding_ms", base::ToMillis(cost.decoding) } });
+}
+
 void
 ClusterState::OnServerList(const std::vector<StoredObject>& aObjects, uint64_t aRevision)
 {
--- a/libs/engine/src/ClusterState.h
+++ b/libs/engine/src/ClusterState.h
@@ -59,7 +59,8 @@
 
 private:
   std::shared_ptr<StoreFollower> MakeFollower(StoreKind aKind);
-  void OnConfigurations(const std::vector<StoredObject>& aObjects);
+  void OnConfigurations(std::vector<StoredObject>&& aObjects);
+  void PutInForce(StoredObject&& aObject);
   void OnServerList(const std::vector<StoredObject>& aObjects, uint64_t aRevision);
   void OnServerChanges(const std::vector<StoredObject>& aObjects);
   void OnLost(StoreKind aKind, const char* aCause);
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -250,9 +250,9 @@
     auto lag = std::chrono::duration_cast<base::Duration>(now - this->maintenanceTimer.expiry());
     this->metrics.ObserveLoopLag(std::max(base::Duration(0), lag));
     if (lag >= kStallThreshold) {
-      telemetry::Log(telemetry::Event::LoopStalled,
-                     { { "lag_ms", base::ToMillis(lag) },
-                       { "sessions", this->ingress.Sessions() } });
+      telemetry::Log(
+        telemetry::Event::LoopStalled,
+        { { "lag_ms", base::ToMillis(lag) }, { "sessions", this->ingress.Sessions() } });
     }
     this->clusterState.RunMaintenance(now);
     this->upstreams.CloseExpired(now);
--- a/libs/engine/src/StoreConnection.cpp
+++ b/libs/engine/src/StoreConnection.cpp
@@ -156,9 +156,8 @@
   this->Disconnect();
   OnAnswer callback = std::move(this->onAnswer);
   this->onAnswer = nullptr;
-  callback(StoreAnswer{ .cause = aCause,
-                        .received = this->received,
-                        .took = base::Now() - this->startedAt });
+  callback(StoreAnswer{
+    .cause = aCause, .received = this->received, .took = base::Now() - this->startedAt });
 }
 
 void
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <telemetry/Events.h>
+#include <utility>
 
 #include "MirrorServer.h"
 
@@ -221,8 +222,7 @@
   this->listing = false;
   this->hasListed = true;
   this->revision = this->listRevision;
-  this->options.onList(this->listed, this->listRevision);
-  this->listed.clear();
+  this->options.onList(std::exchange(this->listed, {}), this->listRevision);
   this->Call();
 }
 
@@ -244,10 +244,10 @@
                               std::make_shared<std::string>(std::move(aResponse.body())),
                               answeredAt);
   this->revision = std::max(this->revision, page->revision);
+  bool readsTogether = !page->objects.empty() && !this->source.isMirror;
   if (!page->objects.empty()) {
-    this->options.onChanges(page->objects);
+    this->options.onChanges(std::move(page->objects));
   }
-  bool readsTogether = !page->objects.empty() && !this->source.isMirror;
   this->ScheduleCall(readsTogether ? kWatchBatchDelay : base::Duration(0));
 }
 
