Count a caller's time from when its request could first have been read

Cause: the time left was counted from the moment a request was read. While the event loop is busy the request lies in its socket, and nothing is seen of that time afterwards. Class of fault: time measured where it is convenient instead of where it starts. Fix: LoopMonitor bounds the unread time by the timer that the loop handled last (error at most one interval, 100 ms; the platform allows 500 ms). Bytes that are there when a read begins keep the bound of that moment, as handlers queued ahead of the read may move it. The latency objective still counts from the reading. Ruled out: waiting for the first configuration (counted), the header written before the connect (at most 250 ms).

--- a/libs/engine/include/engine/ClientSession.h
+++ b/libs/engine/include/engine/ClientSession.h
@@ -19,6 +19,8 @@
   virtual bool IsUsable() const = 0;
   virtual directory::CallerLimits Limits() const = 0;
   virtual bool IsDraining() const = 0;
+  /// When bytes count as received that are read at aNow; see LoopMonitor.
+  virtual base::Instant ReceivedAt(base::Instant aNow) const = 0;
   virtual EngineContext& Context() = 0;
   virtual void OnSessionClosed(const std::shared_ptr<class ClientSession>& aSession) = 0;
 };
@@ -54,6 +56,7 @@
   using Parser = http::request_parser<http::string_body>;
 
   void Read();
+  void NoteWaitingBytes();
   void OnData();
   void ParseRequest();
   void SendContinueIfExpected();
@@ -81,7 +84,11 @@
   std::shared_ptr<HttpRequest> waitingRequest;
   std::shared_ptr<RequestHandler> handler;
   std::shared_ptr<HttpResponse> response;
-  base::Instant requestStartedAt{};
+  /// Of the first bytes of the current request.
+  base::Instant requestReceivedAt{};
+  base::Instant requestReadAt{};
+  /// When the bytes count as received that were there as the read in progress began.
+  std::optional<base::Instant> waitingBytesReceivedAt;
   /// The idle timeout announced to the caller; a newer configuration may have a lower one.
   base::Duration idleTimeout{ 0 };
   bool requestStarted = false;
--- a/libs/engine/include/engine/ServiceCall.h
+++ b/libs/engine/include/engine/ServiceCall.h
@@ -27,6 +27,7 @@
 {
   std::shared_ptr<const HttpRequest> message;
   RequestMeta meta;
+  /// May be before it was read; see LoopMonitor.
   base::Instant receivedAt{};
   /// The earlier of the caller's deadline and the route's timeout.
   base::Instant deadline{};
--- a/libs/engine/src/ClientSession.cpp
+++ b/libs/engine/src/ClientSession.cpp
@@ -101,6 +101,7 @@
     return;
   }
   this->readPending = true;
+  this->NoteWaitingBytes();
   auto self = this->shared_from_this();
   this->socket.async_read_some(this->buffer.prepare(kReadBufferBytes),
                                [self](ErrorCode aError, size_t aCount) {
@@ -118,6 +119,15 @@
                                });
 }
 
+void
+ClientSession::NoteWaitingBytes()
+{
+  ErrorCode error;
+  bool waiting = this->socket.available(error) > 0;
+  this->waitingBytesReceivedAt =
+    waiting ? std::optional(this->host.ReceivedAt(base::Now())) : std::nullopt;
+}
+
 void
 ClientSession::OnData()
 {
@@ -130,7 +140,9 @@
   }
   if (!this->requestStarted) {
     this->requestStarted = true;
-    this->requestStartedAt = base::Now();
+    this->requestReadAt = base::Now();
+    this->requestReceivedAt =
+      this->waitingBytesReceivedAt.value_or(this->host.ReceivedAt(this->requestReadAt));
     this->ArmTimer(this->host.Limits().headerTimeout);
   }
   this->ParseRequest();
@@ -258,10 +270,12 @@
   auto incoming = std::make_shared<IncomingRequest>();
   incoming->message = aRequest;
   incoming->meta = context.codec.readRequest(*aRequest);
-  incoming->receivedAt = this->requestStartedAt;
+  incoming->receivedAt = this->requestReceivedAt;
   base::Duration timeout = incoming->meta.timeout.value_or(kDefaultTimeout);
-  incoming->deadline = this->requestStartedAt + std::min(timeout, aRoute.timeout);
-  incoming->objective = this->requestStartedAt + aRoute.objective;
+  incoming->deadline = this->requestReceivedAt + std::min(timeout, aRoute.timeout);
+  // Counted from the reading: a caller whose answer is late in any case is served best by a whole
+  // one.
+  incoming->objective = this->requestReadAt + aRoute.objective;
   incoming->routes = std::move(aRoutes);
   incoming->route = &aRoute;
   incoming->fingerprint = FingerprintOf(*aRequest);
--- a/libs/engine/src/Ingress.h
+++ b/libs/engine/src/Ingress.h
@@ -4,6 +4,7 @@
 #include "ClusterState.h"
 
 #include <engine/ClientSession.h>
+#include <engine/LoopMonitor.h>
 #include <unordered_set>
 
 namespace sapphirewind::engine {
@@ -15,6 +16,7 @@
   {
     EngineContext& context;
     ClusterState& clusterState;
+    const LoopMonitor& loopMonitor;
     Tcp::endpoint endpoint;
     /// Limit on open sessions; further connections wait in the listen backlog.
     size_t maxSessions = 1;
@@ -41,6 +43,10 @@
   bool IsUsable() const override { return this->options.clusterState.IsUsable(); }
   directory::CallerLimits Limits() const override;
   bool IsDraining() const override { return this->draining; }
+  base::Instant ReceivedAt(base::Instant aNow) const override
+  {
+    return this->options.loopMonitor.ReceivedAt(aNow);
+  }
   EngineContext& Context() override { return this->options.context; }
   void OnSessionClosed(const std::shared_ptr<ClientSession>& aSession) override;
 
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -73,8 +73,14 @@
                                .watchWait = this->settings.watchWait,
                                .drain = this->settings.drain,
                                .onUsable = [this] { this->OnUsable(); } })
+    , loopMonitor(LoopMonitor::Options{
+        .loop = this->loop,
+        .interval = kMaintenanceInterval,
+        .onTick = [this](base::Instant aNow,
+                         base::Duration aLag) { this->RunMaintenance(aNow, aLag); } })
     , ingress(Ingress::Options{ .context = this->context,
                                 .clusterState = this->clusterState,
+                                .loopMonitor = this->loopMonitor,
                                 .endpoint = *ParseEndpoint(this->settings.callerAddress),
                                 .maxSessions = this->settings.maxDescriptors / 2 })
     , statusServer(HttpServer::Options{
@@ -92,7 +98,6 @@
             aRespond(this->MetricsPage(aRequest));
           } })
     , signals(this->loop, SIGTERM, SIGINT, SIGHUP)
-    , maintenanceTimer(this->loop)
     , stopTimer(this->loop)
   {
   }
@@ -112,8 +117,7 @@
       return error;
     }
     this->AwaitSignal();
-    this->maintenanceTimer.expires_at(base::Now());
-    this->RunMaintenance();
+    this->loopMonitor.Start();
     telemetry::Log(telemetry::Event::Started,
                    { { "zone", this->settings.zone }, { "listen", this->settings.callerAddress } });
     return {};
@@ -244,29 +248,21 @@
     this->ingress.OnConfiguration();
   }
 
-  void RunMaintenance()
+  void RunMaintenance(base::Instant aNow, base::Duration aLag)
   {
-    base::Instant now = base::Now();
-    auto lag = std::chrono::duration_cast<base::Duration>(now - this->maintenanceTimer.expiry());
-    this->metrics.ObserveLoopLag(std::max(base::Duration(0), lag));
-    if (lag >= kStallThreshold) {
+    this->metrics.ObserveLoopLag(aLag);
+    if (aLag >= kStallThreshold) {
       telemetry::Log(
         telemetry::Event::LoopStalled,
-        { { "lag_ms", base::ToMillis(lag) }, { "sessions", this->ingress.Sessions() } });
+        { { "lag_ms", base::ToMillis(aLag) }, { "sessions", this->ingress.Sessions() } });
     }
-    this->clusterState.RunMaintenance(now);
-    this->upstreams.CloseExpired(now);
-    this->crashGuard.RunMaintenance(now);
-    if (now - this->settingsReadAt >= kSettingsPollInterval) {
-      this->settingsReadAt = now;
+    this->clusterState.RunMaintenance(aNow);
+    this->upstreams.CloseExpired(aNow);
+    this->crashGuard.RunMaintenance(aNow);
+    if (aNow - this->settingsReadAt >= kSettingsPollInterval) {
+      this->settingsReadAt = aNow;
       this->ReloadSettings();
     }
-    this->maintenanceTimer.expires_after(kMaintenanceInterval);
-    this->maintenanceTimer.async_wait([this](ErrorCode aError) {
-      if (!aError) {
-        this->RunMaintenance();
-      }
-    });
   }
 
   void AwaitLastSession()
@@ -296,11 +292,11 @@
   CrashGuard crashGuard;
   EngineContext context;
   ClusterState clusterState;
+  LoopMonitor loopMonitor;
   Ingress ingress;
   HttpServer statusServer;
   HttpServer metricsServer;
   asio::signal_set signals;
-  Timer maintenanceTimer;
   Timer stopTimer;
   base::Instant stopStartedAt{};
   base::Instant settingsReadAt = base::Now();
