Compress what instances relay to each other

Cause: a mirror sends a configuration of 700 KB to every follower that asks, up to twelve and more at once, over a link of 20 Mbit/s; when other mirrors fail, each transfer takes longer than the platform's bound, and while it lasts nothing newer is read. Class of fault: a shared link without a bound on what is sent over it. Fix: answers of 4 KB and more go between instances as gzip (zlib), for followers that accept it; a mirror that received compressed bytes sends these on. Ruled out: fewer followers a mirror (deeper tree, later for all), differences between versions (own format and state). The test of the mirror failed before (the body came as it is); the one for earlier versions guards their reading.

--- a/libs/engine/include/engine/StoreConnection.h
+++ b/libs/engine/include/engine/StoreConnection.h
@@ -20,6 +20,9 @@
   base::Duration took{ 0 };
 };
 
+/// The content coding between instances.
+constexpr const char* kGzip = "gzip";
+
 class StoreConnection : public std::enable_shared_from_this<StoreConnection>
 {
 public:
--- a/libs/engine/include/engine/StoreFollower.h
+++ b/libs/engine/include/engine/StoreFollower.h
@@ -67,9 +67,9 @@
     /// Called with the raw body of a list's page, with the name that the page continues after, and
     /// of a watch's answer, for instances that follow this one as a mirror.
     /// The time is that of the store's answer.
-    std::function<void(const std::string&, std::shared_ptr<const std::string>, base::Instant)>
+    std::function<void(const std::string&, std::shared_ptr<const RelayedBody>, base::Instant)>
       onPageBody;
-    std::function<void(uint64_t, MirroredUpdate, std::shared_ptr<const std::string>, base::Instant)>
+    std::function<void(uint64_t, MirroredUpdate, std::shared_ptr<const RelayedBody>, base::Instant)>
       onChangesBody;
     /// Called with a complete list and the store's revision that it reflects.
     std::function<void(std::vector<StoredObject>&&, uint64_t)> onList;
@@ -99,8 +99,8 @@
   void Call();
   void OnAnswer(StoreAnswer&& aAnswer);
   void UseSource(const StoreSource& aSource);
-  void OnListPage(HttpResponse&& aResponse);
-  void OnChanges(HttpResponse&& aResponse);
+  void OnListPage(const std::shared_ptr<const RelayedBody>& aBody, base::Instant aAnsweredAt);
+  void OnChanges(const std::shared_ptr<const RelayedBody>& aBody, base::Instant aAnsweredAt);
   void Fail(const char* aCause, directory::MirrorFailure aFailure);
   void Succeed();
   void MarkLost(const char* aCause);
--- a/libs/engine/include/engine/StoreMirror.h
+++ b/libs/engine/include/engine/StoreMirror.h
@@ -10,6 +10,7 @@
 #include <base/Time.h>
 #include <cstdint>
 #include <deque>
+#include <engine/RelayedBody.h>
 #include <map>
 #include <memory>
 #include <optional>
@@ -25,13 +26,13 @@
   {
     uint64_t from = 0;
     uint64_t to = 0;
-    std::shared_ptr<const std::string> body;
+    std::shared_ptr<const RelayedBody> body;
   };
 
   /// Pages of the last complete list, by the name that they continue after.
-  std::map<std::string, std::shared_ptr<const std::string>> pages;
+  std::map<std::string, std::shared_ptr<const RelayedBody>> pages;
   /// Pages of the list that is being read, not yet served.
-  std::map<std::string, std::shared_ptr<const std::string>> pendingPages;
+  std::map<std::string, std::shared_ptr<const RelayedBody>> pendingPages;
   uint64_t listRevision = 0;
   uint64_t revision = 0;
   std::deque<Changes> history;
@@ -47,7 +48,7 @@
 void
 AddListPage(MirrorCache& aCache,
             const std::string& aAfter,
-            std::shared_ptr<const std::string> aBody,
+            std::shared_ptr<const RelayedBody> aBody,
             base::Instant aNow);
 
 /// Serves the pages added since the first one as the complete list, at a revision.
@@ -67,7 +68,7 @@
 AddChanges(MirrorCache& aCache,
            uint64_t aTo,
            MirroredUpdate aUpdate,
-           std::shared_ptr<const std::string> aBody,
+           std::shared_ptr<const RelayedBody> aBody,
            base::Instant aNow);
 
 /// How a mirror answers a watch.
@@ -81,7 +82,7 @@
 struct WatchResponse
 {
   WatchStatus status = WatchStatus::Wait;
-  std::shared_ptr<const std::string> body;
+  std::shared_ptr<const RelayedBody> body;
 };
 
 WatchResponse
--- a/libs/engine/src/ClusterState.cpp
+++ b/libs/engine/src/ClusterState.cpp
@@ -77,7 +77,7 @@
 {
   bool followsServers = aKind == StoreKind::Servers;
   using Objects = std::vector<StoredObject>;
-  using Body = std::shared_ptr<const std::string>;
+  using Body = std::shared_ptr<const RelayedBody>;
   return std::make_shared<StoreFollower>(StoreFollower::Options{
     .loop = this->options.context.loop,
     .codec = this->options.codec,
@@ -144,7 +144,7 @@
 ClusterState::OnChangesBody(StoreKind aKind,
                             uint64_t aTo,
                             MirroredUpdate aUpdate,
-                            std::shared_ptr<const std::string> aBody,
+                            std::shared_ptr<const RelayedBody> aBody,
                             base::Instant aAnsweredAt)
 {
   if (aKind == StoreKind::Servers) {
--- a/libs/engine/src/ClusterState.h
+++ b/libs/engine/src/ClusterState.h
@@ -68,7 +68,7 @@
   void OnChangesBody(StoreKind aKind,
                      uint64_t aTo,
                      MirroredUpdate aUpdate,
-                     std::shared_ptr<const std::string> aBody,
+                     std::shared_ptr<const RelayedBody> aBody,
                      base::Instant aAnsweredAt);
   StoreFollower& Follower(StoreKind aKind) const;
   base::Duration MirrorWait() const;
--- a/libs/engine/src/MirrorServer.cpp
+++ b/libs/engine/src/MirrorServer.cpp
@@ -45,16 +45,26 @@
 }
 
 HttpResponse
-MirrorServer::Relay(StoreKind aKind, const std::string& aBody)
+MirrorServer::Relay(StoreKind aKind, const RelayedBody& aBody, bool aAcceptsGzip)
 {
   HttpResponse response(http::status::ok, 11);
   response.set(http::field::content_type, "application/json");
   base::Duration age = base::Now() - this->CacheOf(aKind).lastAnswerAt;
   response.set(kDataAgeHeader, std::to_string(base::ToMillis(age)));
-  response.body() = aBody;
+  const std::string* compressed = aAcceptsGzip ? aBody.Compressed() : nullptr;
+  if (compressed != nullptr) {
+    response.set(http::field::content_encoding, kGzip);
+  }
+  response.body() = compressed == nullptr ? aBody.Text() : *compressed;
   return response;
 }
 
+HttpResponse
+MirrorServer::RelayNoChanges(StoreKind aKind, uint64_t aRevision)
+{
+  return this->Relay(aKind, RelayedBody(this->options.codec.writeNoChanges(aRevision)), false);
+}
+
 size_t
 MirrorServer::CountWaiting(StoreKind aKind) const
 {
@@ -83,24 +93,25 @@
     aRespond(WithStatus(http::status::service_unavailable));
     return;
   }
+  bool acceptsGzip = aRequest[http::field::accept_encoding] == kGzip;
   if (query->watchFrom) {
-    this->Watch(*query, std::move(aRespond));
+    this->Watch(*query, acceptsGzip, std::move(aRespond));
   } else {
-    this->List(*query, aRespond);
+    this->List(*query, acceptsGzip, aRespond);
   }
 }
 
 void
-MirrorServer::List(const StoreQuery& aQuery, const HttpServer::Respond& aRespond)
+MirrorServer::List(const StoreQuery& aQuery, bool aAcceptsGzip, const HttpServer::Respond& aRespond)
 {
   const MirrorCache& cache = this->CacheOf(aQuery.kind);
   auto page = cache.pages.find(aQuery.after);
   aRespond(page == cache.pages.end() ? WithStatus(http::status::service_unavailable)
-                                     : this->Relay(aQuery.kind, *page->second));
+                                     : this->Relay(aQuery.kind, *page->second, aAcceptsGzip));
 }
 
 void
-MirrorServer::Watch(const StoreQuery& aQuery, HttpServer::Respond aRespond)
+MirrorServer::Watch(const StoreQuery& aQuery, bool aAcceptsGzip, HttpServer::Respond aRespond)
 {
   WatchResponse answer = FindChanges(this->CacheOf(aQuery.kind), *aQuery.watchFrom);
   switch (answer.status) {
@@ -108,25 +119,26 @@
       aRespond(WithStatus(http::status::gone));
       return;
     case WatchStatus::Changes:
-      aRespond(this->Relay(aQuery.kind, *answer.body));
+      aRespond(this->Relay(aQuery.kind, *answer.body, aAcceptsGzip));
       return;
     case WatchStatus::Wait:
       if (this->CountWaiting(aQuery.kind) >= directory::kMaxMirrorFollowers) {
         aRespond(WithStatus(http::status::service_unavailable));
         return;
       }
-      this->Wait(aQuery, std::move(aRespond));
+      this->Wait(aQuery, aAcceptsGzip, std::move(aRespond));
       return;
   }
 }
 
 void
-MirrorServer::Wait(const StoreQuery& aQuery, HttpServer::Respond aRespond)
+MirrorServer::Wait(const StoreQuery& aQuery, bool aAcceptsGzip, HttpServer::Respond aRespond)
 {
   uint64_t number = this->nextNumber++;
   auto entry = this->waiting.emplace(number,
                                      Waiting{ .kind = aQuery.kind,
                                               .revision = *aQuery.watchFrom,
+                                              .acceptsGzip = aAcceptsGzip,
                                               .respond = std::move(aRespond),
                                               .timer = Timer(this->options.loop) });
   Timer& timer = entry.first->second.timer;
@@ -151,7 +163,7 @@
   uint64_t revision = entry->second.revision;
   StoreKind kind = entry->second.kind;
   this->waiting.erase(entry);
-  respond(this->CanServe(kind) ? this->Relay(kind, this->options.codec.writeNoChanges(revision))
+  respond(this->CanServe(kind) ? this->RelayNoChanges(kind, revision)
                                : WithStatus(http::status::service_unavailable));
 }
 
@@ -168,14 +180,15 @@
     if (answer.status == WatchStatus::Wait && aUpdate != MirroredUpdate::None) {
       continue;
     }
+    bool acceptsGzip = current->second.acceptsGzip;
     HttpServer::Respond respond = std::move(current->second.respond);
     this->waiting.erase(current);
     if (answer.status == WatchStatus::Gone) {
       respond(WithStatus(http::status::gone));
+    } else if (answer.status == WatchStatus::Changes) {
+      respond(this->Relay(aKind, *answer.body, acceptsGzip));
     } else {
-      bool hasChanges = answer.status == WatchStatus::Changes;
-      respond(this->Relay(
-        aKind, hasChanges ? *answer.body : this->options.codec.writeNoChanges(revision)));
+      respond(this->RelayNoChanges(aKind, revision));
     }
   }
 }
--- a/libs/engine/src/MirrorServer.h
+++ b/libs/engine/src/MirrorServer.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <engine/HttpServer.h>
+#include <engine/StoreConnection.h>
 #include <engine/StoreMirror.h>
 #include <engine/Wire.h>
 #include <map>
@@ -52,17 +53,19 @@
   {
     StoreKind kind = StoreKind::Configuration;
     uint64_t revision = 0;
+    bool acceptsGzip = false;
     HttpServer::Respond respond;
     Timer timer;
   };
 
   void Handle(const HttpRequest& aRequest, HttpServer::Respond aRespond);
-  void List(const StoreQuery& aQuery, const HttpServer::Respond& aRespond);
-  void Watch(const StoreQuery& aQuery, HttpServer::Respond aRespond);
-  void Wait(const StoreQuery& aQuery, HttpServer::Respond aRespond);
+  void List(const StoreQuery& aQuery, bool aAcceptsGzip, const HttpServer::Respond& aRespond);
+  void Watch(const StoreQuery& aQuery, bool aAcceptsGzip, HttpServer::Respond aRespond);
+  void Wait(const StoreQuery& aQuery, bool aAcceptsGzip, HttpServer::Respond aRespond);
   void OnWaitOver(uint64_t aNumber);
   bool CanServe(StoreKind aKind);
-  HttpResponse Relay(StoreKind aKind, const std::string& aBody);
+  HttpResponse Relay(StoreKind aKind, const RelayedBody& aBody, bool aAcceptsGzip);
+  HttpResponse RelayNoChanges(StoreKind aKind, uint64_t aRevision);
   size_t CountWaiting(StoreKind aKind) const;
 
   Options options;
--- a/libs/engine/src/StoreConnection.cpp
+++ b/libs/engine/src/StoreConnection.cpp
@@ -51,6 +51,9 @@
   exchange->timeout = aCall.timeout;
   exchange->request = HttpRequest(aCall.method, aCall.target, 11);
   exchange->request.set(http::field::host, this->options.host);
+  if (this->options.toInstance) {
+    exchange->request.set(http::field::accept_encoding, kGzip);
+  }
   exchange->request.body() = std::move(aCall.body);
   if (!exchange->request.body().empty()) {
     exchange->request.set(http::field::content_type, "application/json");
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -51,6 +51,16 @@
   return aNow - std::chrono::milliseconds(std::max<int64_t>(0, ageMs));
 }
 
+/// The body of an answer, which a mirror may have compressed; null if it is damaged.
+std::shared_ptr<const RelayedBody>
+TakeBody(HttpResponse& aResponse)
+{
+  if (aResponse[http::field::content_encoding] == kGzip) {
+    return RelayedBody::FromCompressed(std::move(aResponse.body()));
+  }
+  return std::make_shared<RelayedBody>(std::move(aResponse.body()));
+}
+
 } // namespace
 
 const char*
@@ -185,19 +195,25 @@
     this->Fail("refused", directory::MirrorFailure::Unreachable);
     return;
   }
+  std::shared_ptr<const RelayedBody> body = TakeBody(response);
+  if (!body) {
+    this->Fail("malformed compression", directory::MirrorFailure::Unreachable);
+    return;
+  }
+  base::Instant answeredAt = AnsweredAt(response, base::Now());
   if (this->listing) {
-    this->OnListPage(std::move(response));
+    this->OnListPage(body, answeredAt);
   } else {
-    this->OnChanges(std::move(response));
+    this->OnChanges(body, answeredAt);
   }
 }
 
 void
-StoreFollower::OnListPage(HttpResponse&& aResponse)
+StoreFollower::OnListPage(const std::shared_ptr<const RelayedBody>& aBody,
+                          base::Instant aAnsweredAt)
 {
   base::Instant decodingSince = base::Now();
-  std::optional<StorePage> page =
-    this->options.codec.readList(this->options.kind, aResponse.body());
+  std::optional<StorePage> page = this->options.codec.readList(this->options.kind, aBody->Text());
   this->lastRead.decoding = base::Now() - decodingSince;
   if (!page) {
     this->Fail("malformed list", directory::MirrorFailure::Unreachable);
@@ -210,9 +226,7 @@
   }
   // The watch starts at the oldest page's revision, so it returns the changes that a page lacks.
   this->listRevision = std::min(this->listRevision, page->revision);
-  base::Instant answeredAt = AnsweredAt(aResponse, base::Now());
-  this->options.onPageBody(
-    this->listAfter, std::make_shared<std::string>(std::move(aResponse.body())), answeredAt);
+  this->options.onPageBody(this->listAfter, aBody, aAnsweredAt);
   std::move(page->objects.begin(), page->objects.end(), std::back_inserter(this->listed));
   this->listAfter = page->continueAfter;
   if (!this->listAfter.empty()) {
@@ -227,22 +241,18 @@
 }
 
 void
-StoreFollower::OnChanges(HttpResponse&& aResponse)
+StoreFollower::OnChanges(const std::shared_ptr<const RelayedBody>& aBody, base::Instant aAnsweredAt)
 {
   base::Instant decodingSince = base::Now();
   std::optional<StorePage> page =
-    this->options.codec.readChanges(this->options.kind, aResponse.body());
+    this->options.codec.readChanges(this->options.kind, aBody->Text());
   this->lastRead.decoding = base::Now() - decodingSince;
   if (!page) {
     this->Fail("malformed changes", directory::MirrorFailure::Unreachable);
     return;
   }
   this->Succeed();
-  base::Instant answeredAt = AnsweredAt(aResponse, base::Now());
-  this->options.onChangesBody(page->revision,
-                              ClassifyUpdate(page->objects),
-                              std::make_shared<std::string>(std::move(aResponse.body())),
-                              answeredAt);
+  this->options.onChangesBody(page->revision, ClassifyUpdate(page->objects), aBody, aAnsweredAt);
   this->revision = std::max(this->revision, page->revision);
   bool readsTogether = !page->objects.empty() && !this->source.isMirror;
   if (!page->objects.empty()) {
--- a/libs/engine/src/StoreMirror.cpp
+++ b/libs/engine/src/StoreMirror.cpp
@@ -7,7 +7,7 @@
 void
 AddListPage(MirrorCache& aCache,
             const std::string& aAfter,
-            std::shared_ptr<const std::string> aBody,
+            std::shared_ptr<const RelayedBody> aBody,
             base::Instant aNow)
 {
   if (aAfter.empty()) {
@@ -32,7 +32,7 @@
 AddChanges(MirrorCache& aCache,
            uint64_t aTo,
            MirroredUpdate aUpdate,
-           std::shared_ptr<const std::string> aBody,
+           std::shared_ptr<const RelayedBody> aBody,
            base::Instant aNow)
 {
   aCache.lastAnswerAt = aNow;
@@ -73,7 +73,7 @@
 {
   size_t bytes = 0;
   for (const MirrorCache::Changes& changes : aCache.history) {
-    bytes += changes.body->size();
+    bytes += changes.body->Text().size();
   }
   return bytes > kMaxMirroredBytes;
 }
--- a/libs/engine/test/MirrorServerTest.cpp
+++ b/libs/engine/test/MirrorServerTest.cpp
@@ -30,7 +30,7 @@
     this->codec.writeNoChanges = [](uint64_t) { return std::string("no changes"); };
     AddListPage(this->mirror.CacheOf(StoreKind::Servers),
                 "",
-                std::make_shared<std::string>("page"),
+                std::make_shared<RelayedBody>("page"),
                 base::Now());
     CommitList(this->mirror.CacheOf(StoreKind::Servers), kListRevision);
     BOOST_REQUIRE(!this->mirror.Start());
@@ -87,7 +87,7 @@
     AddChanges(this->mirror.CacheOf(StoreKind::Servers),
                kListRevision + 1,
                MirroredUpdate::Changes,
-               std::make_shared<std::string>("new server"),
+               std::make_shared<RelayedBody>("new server"),
                base::Now());
     this->mirror.AnswerWaiting(StoreKind::Servers, MirroredUpdate::Changes);
   });
@@ -127,3 +127,56 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_large_change, WatchedMirror)
+
+// Guards against transfers to several followers that fill a small machine's link for seconds.
+BOOST_AUTO_TEST_CASE(is_relayed_compressed_to_a_follower_that_accepts_it)
+{
+  std::string configuration;
+  for (int route = 0; route < 4000; ++route) {
+    configuration += R"({"name":"route-)" + std::to_string(route) + R"(","timeout_ms":1500},)";
+  }
+  auto body = std::make_shared<RelayedBody>(configuration);
+  AddChanges(this->mirror.CacheOf(StoreKind::Servers),
+             kListRevision + 1,
+             MirroredUpdate::Changes,
+             body,
+             base::Now());
+  Tcp::socket modern(this->loop);
+  modern.connect(this->mirror.LocalEndpoint());
+  asio::write(modern,
+              asio::buffer(std::string("GET /watch HTTP/1.1\r\nHost: m\r\n"
+                                       "Accept-Encoding: gzip\r\n\r\n")));
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  bool answered = false;
+  http::async_read(modern, buffer, parser, [&](ErrorCode aError, size_t) { answered = !aError; });
+  while (!answered) {
+    BOOST_REQUIRE(this->loop.run_one_for(30s) > 0);
+  }
+  BOOST_TEST(parser.get().body().size() < configuration.size() / 5);
+  BOOST_TEST(parser.get()[http::field::content_encoding] == kGzip);
+  auto relayed = RelayedBody::FromCompressed(parser.get().body());
+  BOOST_REQUIRE(relayed);
+  BOOST_TEST((relayed->Text() == configuration));
+}
+
+BOOST_AUTO_TEST_CASE(is_relayed_as_it_is_to_an_earlier_version)
+{
+  std::string text(2 * kMinCompressedBytes, 'x');
+  AddChanges(this->mirror.CacheOf(StoreKind::Servers),
+             kListRevision + 1,
+             MirroredUpdate::Changes,
+             std::make_shared<RelayedBody>(text),
+             base::Now());
+  this->mirror.AnswerWaiting(StoreKind::Servers, MirroredUpdate::Changes);
+  std::string received;
+  while (received.find(text) == std::string::npos) {
+    BOOST_REQUIRE(this->loop.run_one_for(30s) > 0);
+    received += this->Received();
+  }
+  BOOST_TEST(received.find("gzip") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/engine/test/StoreFollowerTest.cpp
+++ b/libs/engine/test/StoreFollowerTest.cpp
@@ -101,7 +101,7 @@
     },
     .onSourceFailed = [](const StoreSource&, directory::MirrorFailure) {},
     .onSourceAnswered = [](const StoreSource&) {},
-    .onPageBody = [](const std::string&, std::shared_ptr<const std::string>, base::Instant) {},
+    .onPageBody = [](const std::string&, std::shared_ptr<const RelayedBody>, base::Instant) {},
     .onList = [this](const std::vector<StoredObject>&,
                      uint64_t aRevision) { this->revision = aRevision; },
     .onLost = [](const char*) {} });
--- a/test/engine/MirrorTest.cpp
+++ b/test/engine/MirrorTest.cpp
@@ -12,10 +12,10 @@
 
 const base::Instant kStart{ 100s };
 
-std::shared_ptr<const std::string>
+std::shared_ptr<const RelayedBody>
 Body(const std::string& aText)
 {
-  return std::make_shared<std::string>(aText);
+  return std::make_shared<RelayedBody>(aText);
 }
 
 MirrorCache
@@ -102,9 +102,9 @@
   MirrorCache cache = CacheWithList(10);
   AddChanges(cache, 12, MirroredUpdate::Changes, Body("to 12"), kStart);
   AddChanges(cache, 15, MirroredUpdate::Changes, Body("to 15"), kStart);
-  BOOST_TEST(*FindChanges(cache, 10).body == "to 12");
-  BOOST_TEST(*FindChanges(cache, 11).body == "to 12");
-  BOOST_TEST(*FindChanges(cache, 12).body == "to 15");
+  BOOST_TEST(FindChanges(cache, 10).body->Text() == "to 12");
+  BOOST_TEST(FindChanges(cache, 11).body->Text() == "to 12");
+  BOOST_TEST(FindChanges(cache, 12).body->Text() == "to 15");
   BOOST_TEST((FindChanges(cache, 15).status == WatchStatus::Wait));
   BOOST_TEST((FindChanges(cache, 99).status == WatchStatus::Wait));
   BOOST_TEST((FindChanges(cache, 9).status == WatchStatus::Gone));
@@ -116,9 +116,9 @@
   AddChanges(cache, 12, MirroredUpdate::FullState, Body("to 12"), kStart);
   AddChanges(cache, 15, MirroredUpdate::FullState, Body("to 15"), kStart);
   AddChanges(cache, 16, MirroredUpdate::Changes, Body("to 16"), kStart);
-  BOOST_TEST(*FindChanges(cache, 10).body == "to 15");
-  BOOST_TEST(*FindChanges(cache, 12).body == "to 15");
-  BOOST_TEST(*FindChanges(cache, 15).body == "to 16");
+  BOOST_TEST(FindChanges(cache, 10).body->Text() == "to 15");
+  BOOST_TEST(FindChanges(cache, 12).body->Text() == "to 15");
+  BOOST_TEST(FindChanges(cache, 15).body->Text() == "to 16");
   BOOST_TEST((FindChanges(cache, 9).status == WatchStatus::Gone));
 }
 
