End a call whose answer has stopped arriving

What callers saw: a route answered 404 after it was due, where the follower's source was paused or cut off in the middle of an answer. Fix: without a byte for 1.2 s the call fails and another source is asked; the limit by bytes stays. Ruled out: a shorter limit by bytes, which a slow link needs.

--- a/libs/engine/include/engine/StoreConnection.h
+++ b/libs/engine/include/engine/StoreConnection.h
@@ -76,6 +76,7 @@
   void ArmTimer(base::Duration aAfter, const char* aCause);
   void Send(const std::shared_ptr<Exchange>& aExchange, uint64_t aNumber);
   void Receive(const std::shared_ptr<Exchange>& aExchange, uint64_t aNumber);
+  void AwaitMore(const Exchange& aExchange);
   void Fail(uint64_t aNumber, const char* aCause);
   void Finish(uint64_t aNumber, HttpResponse&& aResponse);
   void Disconnect();
--- a/libs/engine/src/StoreConnection.cpp
+++ b/libs/engine/src/StoreConnection.cpp
@@ -18,6 +18,9 @@
 /// that sends a large configuration to several instances at once; at most by the time below.
 constexpr int64_t kMinBytesPerSecond = 100 * 1024;
 constexpr base::Duration kMaxTransferTime = std::chrono::seconds(6);
+/// An answer of which nothing arrives for this long has stopped: its sender is paused or cut off.
+/// Longer than a retransmission on a lossy link.
+constexpr base::Duration kMaxTransferPause = std::chrono::milliseconds(1200);
 /// Limit on a connect: a machine without power does not refuse connections, and the caller has
 /// another source. The store answers within a few hundred milliseconds when it is slow.
 constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(600);
@@ -139,14 +142,24 @@
         return;
       }
       if (aNumber == self->number) {
-        self->ArmTimer(aExchange->sentAt + aExchange->timeout + TransferTime(aExchange->received) -
-                         base::Now(),
-                       "timeout");
+        self->AwaitMore(*aExchange);
         self->Receive(aExchange, aNumber);
       }
     });
 }
 
+void
+StoreConnection::AwaitMore(const Exchange& aExchange)
+{
+  base::Duration untilTimeout =
+    aExchange.sentAt + aExchange.timeout + TransferTime(aExchange.received) - base::Now();
+  if (untilTimeout > kMaxTransferPause) {
+    this->ArmTimer(kMaxTransferPause, "answer stopped");
+  } else {
+    this->ArmTimer(untilTimeout, "timeout");
+  }
+}
+
 void
 StoreConnection::Fail(uint64_t aNumber, const char* aCause)
 {
