Accept all waiting connections in one round of the event loop

What callers saw: requests on new connections that were read late, and counted from then. Cause: one connection was accepted a round of the loop; on a machine of 0.12 cores under load a round takes 100 ms and more, and after a fault dozens of connections wait, with requests that the bound on unread time did not cover.

--- a/libs/engine/include/engine/HttpServer.h
+++ b/libs/engine/include/engine/HttpServer.h
@@ -2,7 +2,7 @@
 /// check, the metrics, and the endpoint for other instances.
 #pragma once
 
-#include <engine/Asio.h>
+#include <engine/ConnectionAcceptor.h>
 #include <functional>
 
 namespace sapphirewind::engine {
@@ -26,13 +26,11 @@
   /// Starts listening. Errors: the address cannot be bound.
   std::error_code Start();
 
-  Tcp::endpoint LocalEndpoint() const { return this->acceptor.local_endpoint(); }
+  Tcp::endpoint LocalEndpoint() const { return this->acceptor.LocalEndpoint(); }
 
 private:
-  void Accept();
-
   Options options;
-  Tcp::acceptor acceptor;
+  ConnectionAcceptor acceptor;
 };
 
 } // namespace sapphirewind::engine
--- a/libs/engine/src/HttpServer.cpp
+++ b/libs/engine/src/HttpServer.cpp
@@ -74,34 +74,21 @@
 
 HttpServer::HttpServer(Options aOptions)
   : options(std::move(aOptions))
-  , acceptor(this->options.loop)
+  , acceptor(ConnectionAcceptor::Options{
+      .loop = this->options.loop,
+      .endpoint = this->options.endpoint,
+      .onConnection = [this](Tcp::socket aSocket) {
+        std::make_shared<HttpServerSession>(
+          this->options.handler, this->options.loop, std::move(aSocket))
+          ->Read();
+      } })
 {
 }
 
 std::error_code
 HttpServer::Start()
 {
-  ErrorCode error = Listen(this->acceptor, this->options.endpoint);
-  if (!error) {
-    this->Accept();
-  }
-  return error;
-}
-
-void
-HttpServer::Accept()
-{
-  this->acceptor.async_accept([this](ErrorCode aError, Tcp::socket aSocket) {
-    if (aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (!aError) {
-      std::make_shared<HttpServerSession>(
-        this->options.handler, this->options.loop, std::move(aSocket))
-        ->Read();
-    }
-    this->Accept();
-  });
+  return this->acceptor.Start();
 }
 
 } // namespace sapphirewind::engine
--- a/libs/engine/src/Ingress.cpp
+++ b/libs/engine/src/Ingress.cpp
@@ -4,40 +4,26 @@
 
 Ingress::Ingress(Options aOptions)
   : options(aOptions)
-  , acceptor(aOptions.context.loop)
+  , acceptor(ConnectionAcceptor::Options{
+      .loop = aOptions.context.loop,
+      .endpoint = aOptions.endpoint,
+      .onConnection = [this](Tcp::socket aSocket) { this->OnConnection(std::move(aSocket)); },
+      .mayAccept = [this] { return this->sessions.size() < this->options.maxSessions; } })
 {
 }
 
 std::error_code
 Ingress::Start()
 {
-  ErrorCode error = Listen(this->acceptor, this->options.endpoint);
-  if (!error) {
-    this->Accept();
-  }
-  return error;
+  return this->acceptor.Start();
 }
 
 void
-Ingress::Accept()
+Ingress::OnConnection(Tcp::socket aSocket)
 {
-  if (this->accepting || !this->acceptor.is_open() ||
-      this->sessions.size() >= this->options.maxSessions) {
-    return;
-  }
-  this->accepting = true;
-  this->acceptor.async_accept([this](ErrorCode aError, Tcp::socket aSocket) {
-    this->accepting = false;
-    if (aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (!aError) {
-      auto session = std::make_shared<ClientSession>(*this, std::move(aSocket));
-      this->sessions.insert(session);
-      session->Start();
-    }
-    this->Accept();
-  });
+  auto session = std::make_shared<ClientSession>(*this, std::move(aSocket));
+  this->sessions.insert(session);
+  session->Start();
 }
 
 void
@@ -49,8 +35,7 @@
 void
 Ingress::StopAccepting()
 {
-  ErrorCode ignored; // No connection is accepted even if closing fails.
-  this->acceptor.close(ignored);
+  this->acceptor.Stop();
   std::vector<std::shared_ptr<ClientSession>> open(this->sessions.begin(), this->sessions.end());
   for (const auto& session : open) {
     session->CloseIfIdle();
@@ -83,7 +68,7 @@
 Ingress::OnSessionClosed(const std::shared_ptr<ClientSession>& aSession)
 {
   this->sessions.erase(aSession);
-  this->Accept();
+  this->acceptor.Resume();
 }
 
 } // namespace sapphirewind::engine
--- a/libs/engine/src/Ingress.h
+++ b/libs/engine/src/Ingress.h
@@ -4,6 +4,7 @@
 #include "ClusterState.h"
 
 #include <engine/ClientSession.h>
+#include <engine/ConnectionAcceptor.h>
 #include <engine/LoopMonitor.h>
 #include <unordered_set>
 
@@ -26,7 +27,7 @@
 
   std::error_code Start();
 
-  Tcp::endpoint LocalEndpoint() const { return this->acceptor.local_endpoint(); }
+  Tcp::endpoint LocalEndpoint() const { return this->acceptor.LocalEndpoint(); }
 
   /// Closes each connection after its next response.
   void BeginDraining();
@@ -51,13 +52,12 @@
   void OnSessionClosed(const std::shared_ptr<ClientSession>& aSession) override;
 
 private:
-  void Accept();
+  void OnConnection(Tcp::socket aSocket);
 
   Options options;
-  Tcp::acceptor acceptor;
+  ConnectionAcceptor acceptor;
   std::unordered_set<std::shared_ptr<ClientSession>> sessions;
   bool draining = false;
-  bool accepting = false;
 };
 
 } // namespace sapphirewind::engine
