Read and relay only the newest configuration of an answer

Cause: an answer of the store holds every version since the one before (two or three within the half second for which changes are collected), and each was decoded, put into the answer for the followers and sent, although the newest replaces them all. Fix: an answer is read from its newest version on until one is usable; what is relayed holds no older ones. Ruled out: reading the object instead of the changes after a change (a further call at full price).

--- a/libs/engine/include/engine/Wire.h
+++ b/libs/engine/include/engine/Wire.h
@@ -76,6 +76,9 @@
   /// The name after which the next page starts; empty on the last page.
   std::string continueAfter;
   uint64_t revision = 0;
+  /// An answer that says the same as the one read, without the configurations in it that a newer
+  /// one replaces; empty if there were none.
+  std::string shortened;
 };
 
 /// A page of the list of instances.
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -252,7 +252,10 @@
     return;
   }
   this->Succeed();
-  this->options.onChangesBody(page->revision, ClassifyUpdate(page->objects), aBody, aAnsweredAt);
+  std::shared_ptr<const RelayedBody> relayed =
+    page->shortened.empty() ? aBody : std::make_shared<RelayedBody>(std::move(page->shortened));
+  this->options.onChangesBody(
+    page->revision, ClassifyUpdate(page->objects), std::move(relayed), aAnsweredAt);
   this->revision = std::max(this->revision, page->revision);
   bool readsTogether = !page->objects.empty() && !this->source.isMirror;
   if (!page->objects.empty()) {
