Try: issue permits for a server's rate from a random phase in each instance

The header is decoded, and each instance gets permits at its part of the rate from a random moment on. The test of the pure functions fails: at a rate of 2 a second 18 to 20 requests come in 4 s from 295 and 1,000 instances, where 17 are allowed: random phases clump as independent arrivals do.

--- a/libs/dispatch/include/dispatch/Upstream.h
+++ b/libs/dispatch/include/dispatch/Upstream.h
@@ -9,6 +9,7 @@
 #include <base/Random.h>
 #include <base/Time.h>
 #include <cstdint>
+#include <dispatch/RateLimit.h>
 #include <map>
 #include <optional>
 #include <span>
@@ -44,6 +45,14 @@
   /// Maximum number of connections from this instance to the server.
   unsigned maxInFlight = 1;
   bool draining = false;
+  /// This instance's part, from 0 to 1, of a request rate that the server names for all instances.
+  double rateShare = 1.0;
+  /// Set while the server names a rate.
+  std::optional<RateLimit> rateLimit;
+  /// When the request was sent whose answer named the rate, or none, last.
+  base::Instant rateReportSentAt{};
+  /// The rate that the server named last, in requests a second of all instances.
+  double namedRate = 0.0;
   /// Ratio of the server's service time to the route's average; above 1 is slower.
   double slowdown = 1.0;
   base::Instant slowdownAt{};
@@ -100,10 +109,10 @@
                 const ServiceTimeEstimate& aServiceTime,
                 base::Instant aNow);
 
-/// Whether a request may be sent: the server is not draining and this instance is below its
-/// connection limit.
+/// Whether a request may be sent: the server is not draining, and this instance is below its parts
+/// of the server's connections and request rate.
 bool
-HasCapacity(const Upstream& aUpstream);
+HasCapacity(const Upstream& aUpstream, base::Instant aNow);
 
 bool
 IsEjected(const Upstream& aUpstream, base::Instant aNow);
@@ -144,6 +153,22 @@
 void
 OnFailed(Upstream& aUpstream, uint64_t aRequest, base::Instant aNow);
 
+/// The request rate for all instances together that an answer names, if any.
+struct RateReport
+{
+  std::optional<double> perSecond;
+  /// When the request was sent. Answers overtake each other; an older one does not count.
+  base::Instant sentAt{};
+};
+
+/// Handles an answer's request rate, or that it names none. aPhase: see MakeRateLimit.
+void
+OnRateReport(Upstream& aUpstream, const RateReport& aReport, double aPhase, base::Instant aNow);
+
+/// Changes this instance's part of the server's request rate.
+void
+SetRateShare(Upstream& aUpstream, double aShare, base::Instant aNow);
+
 void
 OnLoadReport(Upstream& aUpstream, const LoadReport& aReport, base::Instant aNow);
 
--- a/libs/dispatch/src/ConnectionShare.cpp
+++ b/libs/dispatch/src/ConnectionShare.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <dispatch/InstanceShare.h>
 
 namespace sapphirewind::dispatch {
 
@@ -21,22 +22,18 @@
 ConnectionShare
 ComputeConnectionShare(const ConnectionShareInput& aInput)
 {
-  size_t instances = std::max<size_t>(1, aInput.instances);
-  size_t inRegion = std::clamp<size_t>(aInput.instancesInRegion, 1, instances);
-  size_t inOtherRegions = std::max<size_t>(1, instances - inRegion);
-  bool allInRegion = instances == inRegion;
-  double sameRegionFraction =
-    aInput.recentlyStarted ? kSameRegionFractionAfterStart : kSameRegionFraction;
-  double fraction =
-    allInRegion ? 1.0 : (aInput.sameRegion ? sameRegionFraction : 1.0 - sameRegionFraction);
   double usableFraction = aInput.recentlyStarted ? kUsableFractionAfterStart : kUsableFraction;
-  double sharers = static_cast<double>(aInput.sameRegion ? inRegion : inOtherRegions);
-  double share = usableFraction * static_cast<double>(aInput.limit) * fraction / sharers;
+  double part = ComputeInstanceShare(
+    { .instancesInRegion = aInput.instancesInRegion,
+      .instances = aInput.instances,
+      .sameRegion = aInput.sameRegion,
+      .regionPart = aInput.recentlyStarted ? kSameRegionFractionAfterStart : kSameRegionFraction });
+  double share = usableFraction * static_cast<double>(aInput.limit) * part;
   ConnectionShare result;
   result.maxInUse = static_cast<unsigned>(std::max(1.0, std::round(share)));
   // Instances keep an idle connection only if the limit has room for one of each instance.
   bool allFit =
-    static_cast<double>(instances) <= usableFraction * static_cast<double>(aInput.limit);
+    static_cast<double>(aInput.instances) <= usableFraction * static_cast<double>(aInput.limit);
   result.maxIdle = allFit ? 1 : 0;
   return result;
 }
--- a/libs/dispatch/src/Upstream.cpp
+++ b/libs/dispatch/src/Upstream.cpp
@@ -152,9 +152,10 @@
 }
 
 bool
-HasCapacity(const Upstream& aUpstream)
+HasCapacity(const Upstream& aUpstream, base::Instant aNow)
 {
-  return !aUpstream.draining && aUpstream.outstanding.size() < aUpstream.maxInFlight;
+  return !aUpstream.draining && aUpstream.outstanding.size() < aUpstream.maxInFlight &&
+         (!aUpstream.rateLimit || HasPermit(*aUpstream.rateLimit, aNow));
 }
 
 bool
@@ -176,7 +177,7 @@
   for (size_t index = 0; index < aUpstreams.size(); ++index) {
     const Upstream& upstream = *aUpstreams[index];
     bool isExcluded = std::find(aExcluded.begin(), aExcluded.end(), index) != aExcluded.end();
-    if (isExcluded || !HasCapacity(upstream)) {
+    if (isExcluded || !HasCapacity(upstream, aNow)) {
       continue;
     }
     bool ejected = IsEjected(upstream, aNow);
@@ -199,6 +200,9 @@
   assert(aUpstream.outstanding.count(aRequest) == 0 && "an upstream request id must be unique");
   aUpstream.outstanding.emplace(aRequest,
                                 OutstandingRequest{ .sentAt = aNow, .expected = aExpected });
+  if (aUpstream.rateLimit) {
+    UsePermit(*aUpstream.rateLimit, aNow);
+  }
 }
 
 void
@@ -267,6 +271,35 @@
   aUpstream.ejectedUntil = aNow + duration;
 }
 
+void
+OnRateReport(Upstream& aUpstream, const RateReport& aReport, double aPhase, base::Instant aNow)
+{
+  if (aReport.sentAt < aUpstream.rateReportSentAt) {
+    return;
+  }
+  aUpstream.rateReportSentAt = aReport.sentAt;
+  if (!aReport.perSecond) {
+    aUpstream.rateLimit.reset();
+    return;
+  }
+  aUpstream.namedRate = *aReport.perSecond;
+  double perSecond = PermitRate(aUpstream.namedRate, aUpstream.rateShare);
+  if (aUpstream.rateLimit) {
+    SetRate(*aUpstream.rateLimit, perSecond, aNow);
+  } else {
+    aUpstream.rateLimit = MakeRateLimit(perSecond, aPhase, aNow);
+  }
+}
+
+void
+SetRateShare(Upstream& aUpstream, double aShare, base::Instant aNow)
+{
+  aUpstream.rateShare = aShare;
+  if (aUpstream.rateLimit) {
+    SetRate(*aUpstream.rateLimit, PermitRate(aUpstream.namedRate, aShare), aNow);
+  }
+}
+
 void
 OnLoadReport(Upstream& aUpstream, const LoadReport& aReport, base::Instant aNow)
 {
--- a/libs/engine/include/engine/UpstreamPool.h
+++ b/libs/engine/include/engine/UpstreamPool.h
@@ -81,9 +81,10 @@
 
 private:
   std::shared_ptr<UpstreamServer> Create(const directory::Server& aServer);
-  dispatch::ConnectionShare ShareOf(const directory::Server& aServer,
-                                    unsigned aLimit,
-                                    base::Instant aNow) const;
+  void SetShares(UpstreamServer& aServer,
+                 const directory::Server& aDescription,
+                 unsigned aConnectionLimit,
+                 base::Instant aNow) const;
   const std::string& RegionOf(const std::string& aZone) const;
   base::Duration AssumedRoundTrip(const std::string& aZone) const;
 
--- a/libs/engine/include/engine/UpstreamServer.h
+++ b/libs/engine/include/engine/UpstreamServer.h
@@ -37,6 +37,7 @@
   void End(ExchangeResult&& aResult);
   void RecordOutcome(const ExchangeResult& aResult);
   void RecordLoad(const ExchangeResult& aResult, base::Instant aNow);
+  void RecordRate(const ExchangeResult& aResult, base::Instant aNow);
 
   std::shared_ptr<UpstreamServer> server;
   std::shared_ptr<dispatch::ServiceTimeEstimate> serviceTime;
@@ -100,8 +101,11 @@
   void Drain();
   bool IsDrained() const { return this->drained; }
 
-  /// Limits the connections of this instance to the server.
-  void SetShare(const dispatch::ConnectionShare& aShare);
+  /// Limits what this instance uses of the server: its connections, and its part, from 0 to 1, of a
+  /// request rate that the server names.
+  void SetShare(const dispatch::ConnectionShare& aConnections,
+                double aRateShare,
+                base::Instant aNow);
 
   /// Closes idle connections near the server's keep-alive timeout and those beyond the limit on
   /// idle connections.
--- a/libs/engine/include/engine/Wire.h
+++ b/libs/engine/include/engine/Wire.h
@@ -38,6 +38,9 @@
   std::string signature;
   bool notExecuted = false;
   std::optional<dispatch::LoadReport> load;
+  /// The requests a second that the server accepts from all instances together, while it is in
+  /// need.
+  std::optional<double> requestRate;
 };
 
 /// The coverage of a response to a query.
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -307,16 +307,20 @@
 {
   unsigned draining = 0;
   unsigned full = 0;
+  unsigned limited = 0;
+  base::Instant now = base::Now();
   const UpstreamPool::Servers& servers =
     this->options.context.upstreams.ServersOf(this->options.service);
   for (const auto& server : servers) {
     bool isDraining = server->State().draining;
     draining += isDraining ? 1 : 0;
-    full += !isDraining && !dispatch::HasCapacity(server->State()) ? 1 : 0;
+    full += !isDraining && !dispatch::HasCapacity(server->State(), now) ? 1 : 0;
+    limited += server->State().rateLimit ? 1 : 0;
   }
   aCall["servers"] = Json::UInt64(servers.size());
   aCall["leaving"] = draining;
   aCall["full"] = full;
+  aCall["limited"] = limited;
 }
 
 Json::Value
--- a/libs/engine/src/UpstreamPool.cpp
+++ b/libs/engine/src/UpstreamPool.cpp
@@ -1,6 +1,7 @@
 #include <engine/UpstreamPool.h>
 
 #include <algorithm>
+#include <dispatch/InstanceShare.h>
 #include <telemetry/Events.h>
 
 namespace sapphirewind::engine {
@@ -49,20 +50,28 @@
   return region == this->options.regions.end() ? aZone : region->second;
 }
 
-dispatch::ConnectionShare
-UpstreamPool::ShareOf(const directory::Server& aServer, unsigned aLimit, base::Instant aNow) const
+void
+UpstreamPool::SetShares(UpstreamServer& aServer,
+                        const directory::Server& aDescription,
+                        unsigned aConnectionLimit,
+                        base::Instant aNow) const
 {
-  const std::string& region = this->RegionOf(aServer.zone);
-  auto inRegion = this->instancesByRegion.find(region);
+  const std::string& region = this->RegionOf(aDescription.zone);
+  auto counted = this->instancesByRegion.find(region);
   // Until the instances are counted, they are assumed to be spread evenly over three regions.
   constexpr size_t kAssumedRegions = 3;
-  size_t assumed = this->instances / kAssumedRegions;
-  return dispatch::ComputeConnectionShare(
-    { .limit = aLimit,
-      .instancesInRegion = inRegion == this->instancesByRegion.end() ? assumed : inRegion->second,
+  size_t inRegion =
+    counted == this->instancesByRegion.end() ? this->instances / kAssumedRegions : counted->second;
+  bool sameRegion = region == this->RegionOf(this->options.zone);
+  dispatch::ConnectionShare connections = dispatch::ComputeConnectionShare(
+    { .limit = aConnectionLimit,
+      .instancesInRegion = inRegion,
       .instances = this->instances,
-      .sameRegion = region == this->RegionOf(this->options.zone),
+      .sameRegion = sameRegion,
       .recentlyStarted = aNow - this->startedAt < dispatch::kReducedSharePeriod });
+  double rateShare = dispatch::ComputeInstanceShare(
+    { .instancesInRegion = inRegion, .instances = this->instances, .sameRegion = sameRegion });
+  aServer.SetShare(connections, rateShare, aNow);
 }
 
 std::shared_ptr<UpstreamServer>
@@ -112,7 +121,7 @@
                               { "address", entry.server.address },
                               { "revision", entry.revision } });
     }
-    server->SetShare(this->ShareOf(entry.server, limit, aNow));
+    this->SetShares(*server, entry.server, limit, aNow);
     if (entry.server.draining) {
       server->Drain();
     }
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -116,6 +116,7 @@
                      { "for_ms", base::ToMillis(state.ejectedUntil - now) },
                      { "why", dispatch::NameOf(aResult.outcome) } });
   }
+  this->RecordRate(aResult, now);
   if (aResult.misdirected) {
     telemetry::Log(telemetry::Event::ServerLeaving,
                    { { "server", this->server->Description().id },
@@ -132,6 +133,37 @@
   }
 }
 
+void
+Attempt::RecordRate(const ExchangeResult& aResult, base::Instant aNow)
+{
+  bool isOwnAnswer = aResult.outcome == dispatch::AttemptOutcome::Answered ||
+                     aResult.outcome == dispatch::AttemptOutcome::ServerError ||
+                     aResult.outcome == dispatch::AttemptOutcome::NotExecuted;
+  if (!isOwnAnswer || aResult.misdirected) {
+    return;
+  }
+  dispatch::Upstream& state = this->server->State();
+  bool wasLimited = state.rateLimit.has_value();
+  dispatch::OnRateReport(state,
+                         { .perSecond = aResult.meta.requestRate, .sentAt = this->startedAt },
+                         base::UniformUnit(base::ThreadRandom()),
+                         aNow);
+  if (wasLimited == state.rateLimit.has_value()) {
+    return;
+  }
+  const directory::Server& description = this->server->Description();
+  if (wasLimited) {
+    telemetry::Log(telemetry::Event::ServerLimitEnded,
+                   { { "server", description.id }, { "service", description.service } });
+  } else {
+    telemetry::Log(telemetry::Event::ServerLimited,
+                   { { "server", description.id },
+                     { "service", description.service },
+                     { "per_second", Json::Value(state.namedRate) },
+                     { "share", Json::Value(state.rateShare) } });
+  }
+}
+
 UpstreamServer::UpstreamServer(Options aOptions)
   : options(std::move(aOptions))
 {
@@ -256,10 +288,13 @@
 }
 
 void
-UpstreamServer::SetShare(const dispatch::ConnectionShare& aShare)
+UpstreamServer::SetShare(const dispatch::ConnectionShare& aConnections,
+                         double aRateShare,
+                         base::Instant aNow)
 {
-  this->state.maxInFlight = aShare.maxInUse;
-  this->maxIdleConnections = aShare.maxIdle;
+  this->state.maxInFlight = aConnections.maxInUse;
+  this->maxIdleConnections = aConnections.maxIdle;
+  dispatch::SetRateShare(this->state, aRateShare, aNow);
 }
 
 void
--- a/libs/telemetry/include/telemetry/Events.h
+++ b/libs/telemetry/include/telemetry/Events.h
@@ -55,6 +55,8 @@
   AnswerDiscarded = 403,
   ServerShed = 404,
   ServerTakenIn = 405,
+  ServerLimited = 406,
+  ServerLimitEnded = 407,
   RequestSuspect = 410,
   RequestCondemned = 411,
   RequestCleared = 412,
--- a/libs/telemetry/src/Events.cpp
+++ b/libs/telemetry/src/Events.cpp
@@ -39,6 +39,8 @@
     { Event::AnswerDiscarded, Level::Warning, "AnswerDiscarded" },
     { Event::ServerShed, Level::Debug, "ServerShed" },
     { Event::ServerTakenIn, Level::Info, "ServerTakenIn" },
+    { Event::ServerLimited, Level::Info, "ServerLimited" },
+    { Event::ServerLimitEnded, Level::Info, "ServerLimitEnded" },
     { Event::RequestSuspect, Level::Warning, "RequestSuspect" },
     { Event::RequestCondemned, Level::Error, "RequestCondemned" },
     { Event::RequestCleared, Level::Info, "RequestCleared" },
