Number a server's permits by the time of day, and give each instance an arc of them

What can be sent nowhere because all servers of a service limit their rate is rejected at once, as not run. One fault: a server's limit was not read. Class of fault: a bound for all that no part of the code divides.

--- a/fakes/include/fakes/SearchServer.h
+++ b/fakes/include/fakes/SearchServer.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace sapphirewind::fakes {
@@ -21,7 +22,9 @@
   double truncateProbability = 0.0;    ///< Runs the request and truncates the answer.
   double extraAnswerProbability = 0.0; ///< Sends a second answer after the first.
   double failProbability = 0.0;        ///< Runs the request and answers 500.
-  bool unresponsive = false;           ///< Accepts requests and never answers.
+  /// The requests a second that the server says it accepts from all instances together.
+  std::optional<double> requestRate;
+  bool unresponsive = false; ///< Accepts requests and never answers.
   /// Maps the bytes of each answer to the bytes that are sent in place of it.
   std::function<std::string(const std::string&)> mutateAnswer;
   /// Requests with this target crash the server: it closes all connections and refuses new ones.
--- a/fakes/src/SearchServer.cpp
+++ b/fakes/src/SearchServer.cpp
@@ -163,6 +163,9 @@
                      this->options.service + "." + this->options.id + "." + aId + "." +
                        std::to_string(run));
   reply.response.set("Sapphirewind-Server-Load", "1,0," + std::to_string(this->options.slots));
+  if (this->behaviour.requestRate) {
+    reply.response.set("Server-Limit", std::to_string(*this->behaviour.requestRate));
+  }
   reply.response.body() = RecordsOf(this->options.service, std::string(aRequest.target()));
   if (this->behaviour.mutateAnswer) {
     reply.rawBytes = this->behaviour.mutateAnswer(Serialize(reply.response));
--- a/libs/base/include/base/Time.h
+++ b/libs/base/include/base/Time.h
@@ -30,6 +30,13 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
 }
 
+/// The time of day minus the monotonic clock, where aNow was just read.
+inline Duration
+WallClockOffset(Instant aNow)
+{
+  return std::chrono::milliseconds(WallClockMillis()) - aNow.time_since_epoch();
+}
+
 /// A duration in whole milliseconds, rounded down.
 inline int64_t
 ToMillis(Duration aDuration)
--- a/libs/dispatch/include/dispatch/Upstream.h
+++ b/libs/dispatch/include/dispatch/Upstream.h
@@ -45,14 +45,14 @@
   /// Maximum number of connections from this instance to the server.
   unsigned maxInFlight = 1;
   bool draining = false;
-  /// This instance's part, from 0 to 1, of a request rate that the server names for all instances.
-  double rateShare = 1.0;
+  /// Identifies the server among those that limit their request rate.
+  uint64_t permitSeed = 0;
+  /// This instance's part of the requests that the server accepts while it limits their rate.
+  InstanceArc permitArc;
   /// Set while the server names a rate.
   std::optional<RateLimit> rateLimit;
   /// When the request was sent whose answer named the rate, or none, last.
   base::Instant rateReportSentAt{};
-  /// The rate that the server named last, in requests a second of all instances.
-  double namedRate = 0.0;
   /// Ratio of the server's service time to the route's average; above 1 is slower.
   double slowdown = 1.0;
   base::Instant slowdownAt{};
@@ -110,9 +110,9 @@
                 base::Instant aNow);
 
 /// Whether a request may be sent: the server is not draining, and this instance is below its parts
-/// of the server's connections and request rate.
+/// of the server's connections and request rate. Precondition: its permits are issued up to now.
 bool
-HasCapacity(const Upstream& aUpstream, base::Instant aNow);
+HasCapacity(const Upstream& aUpstream);
 
 bool
 IsEjected(const Upstream& aUpstream, base::Instant aNow);
@@ -159,15 +159,26 @@
   std::optional<double> perSecond;
   /// When the request was sent. Answers overtake each other; an older one does not count.
   base::Instant sentAt{};
+  /// The time of day minus the monotonic clock.
+  base::Duration wallOffset{ 0 };
 };
 
-/// Handles an answer's request rate, or that it names none. aPhase: see MakeRateLimit.
+/// Handles an answer's request rate, or that it names none.
 void
-OnRateReport(Upstream& aUpstream, const RateReport& aReport, double aPhase, base::Instant aNow);
+OnRateReport(Upstream& aUpstream, const RateReport& aReport, base::Instant aNow);
 
-/// Changes this instance's part of the server's request rate.
+/// Changes this instance's part of a request rate that the server names.
 void
-SetRateShare(Upstream& aUpstream, double aShare, base::Instant aNow);
+SetPermitArc(Upstream& aUpstream, const InstanceArc& aArc, base::Instant aNow);
+
+/// Issues the permits of a server that limits its request rate. Call before choosing a server.
+void
+IssuePermits(Upstream& aUpstream, base::Instant aNow);
+
+/// Whether this instance may have capacity at the server before a time. False only if the server
+/// limits its request rate and the next permit comes later. Precondition: as for HasCapacity.
+bool
+MayHaveCapacity(const Upstream& aUpstream, base::Instant aBefore);
 
 void
 OnLoadReport(Upstream& aUpstream, const LoadReport& aReport, base::Instant aNow);
--- a/libs/dispatch/src/RateLimit.cpp
+++ b/libs/dispatch/src/RateLimit.cpp
@@ -1,85 +1,117 @@
 #include <dispatch/RateLimit.h>
 
 #include <algorithm>
+#include <base/Random.h>
+#include <cassert>
 #include <cmath>
 
 namespace sapphirewind::dispatch {
 
 namespace {
 
-/// The part of a server's rate that is used; the rest allows for instance counts that are out of
-/// date.
+/// The part of a server's rate that is used; the rest allows for lists of the instances that are
+/// out of date.
 constexpr double kUsableRate = 0.95;
 /// The rate, in requests a second of all instances, at which a server is asked that names a lower
 /// one: the answer may say that the limit is over.
 constexpr double kMinServerRate = 0.5;
+/// A higher rate counts as this one, which bounds the work of numbering permits.
+constexpr double kMaxServerRate = 20'000.0;
+/// Permits are numbered by the time of day. Corrections of the clock below this keep the numbers;
+/// after a larger one they start anew, so that no instance goes without until the clock catches up.
+constexpr base::Duration kClockTolerance = std::chrono::milliseconds(500);
 
+/// Permits of all instances in a second.
 double
-Seconds(base::Duration aDuration)
+PermitRate(const RateLimit& aLimit)
 {
-  return std::chrono::duration<double>(aDuration).count();
+  return kUsableRate * std::clamp(aLimit.options.serverRate, kMinServerRate, kMaxServerRate);
 }
 
 double
-IssuedBy(const RateLimit& aLimit, base::Instant aTime)
+Seconds(base::Duration aDuration)
 {
-  return aLimit.issued + aLimit.perSecond * Seconds(aTime - aLimit.updatedAt);
+  return std::chrono::duration<double>(aDuration).count();
 }
 
-/// The number of the last permit that was used or has lapsed by a time.
+/// The number of the last permit that is issued by a time.
 int64_t
-LastGone(const RateLimit& aLimit, base::Instant aNow)
+NumberAt(const RateLimit& aLimit, base::Instant aTime)
 {
-  double lapsed = IssuedBy(aLimit, aNow) - aLimit.perSecond * Seconds(kPermitLifetime);
-  return std::max(aLimit.lastUsed, static_cast<int64_t>(std::floor(lapsed)));
+  double timeOfDay = Seconds(aTime.time_since_epoch() + aLimit.options.wallOffset);
+  return static_cast<int64_t>(std::floor(timeOfDay * PermitRate(aLimit)));
 }
 
-} // namespace
+base::Instant
+IssuedAt(const RateLimit& aLimit, int64_t aNumber)
+{
+  double timeOfDay = static_cast<double>(aNumber) / PermitRate(aLimit);
+  return base::Instant(base::FromFractionalMillis(timeOfDay * 1000.0) - aLimit.options.wallOffset);
+}
 
-double
-PermitRate(double aServerRate, double aShare)
+bool
+IsOwn(const RateLimit& aLimit, int64_t aNumber)
 {
-  return kUsableRate * std::max(aServerRate, kMinServerRate) * aShare;
+  std::string_view bytes(reinterpret_cast<const char*>(&aNumber), sizeof aNumber);
+  return aLimit.options.arc.Contains(
+    base::UnitFromHash(base::Hash64(bytes, aLimit.options.server)));
 }
 
+} // namespace
+
 RateLimit
-MakeRateLimit(double aPerSecond, double aPhase, base::Instant aNow)
+MakeRateLimit(const RateLimitOptions& aOptions, base::Instant aNow)
 {
-  return { .perSecond = aPerSecond, .issued = aPhase, .updatedAt = aNow };
+  RateLimit limit{ .options = aOptions };
+  limit.lastIssued = NumberAt(limit, aNow);
+  return limit;
 }
 
 void
-SetRate(RateLimit& aLimit, double aPerSecond, base::Instant aNow)
+UpdateRateLimit(RateLimit& aLimit, const RateLimitOptions& aOptions, base::Instant aNow)
 {
-  if (aPerSecond == aLimit.perSecond) {
-    return;
+  base::Duration jump = aOptions.wallOffset - aLimit.options.wallOffset;
+  bool keepsNumbers = aOptions.serverRate == aLimit.options.serverRate && jump < kClockTolerance &&
+                      jump > -kClockTolerance;
+  aLimit.options = aOptions;
+  if (!keepsNumbers) {
+    aLimit.held.clear();
+    aLimit.lastIssued = NumberAt(aLimit, aNow);
   }
-  aLimit.lastUsed = LastGone(aLimit, aNow);
-  aLimit.issued = IssuedBy(aLimit, aNow);
-  aLimit.updatedAt = aNow;
-  aLimit.perSecond = aPerSecond;
 }
 
-bool
-HasPermit(const RateLimit& aLimit, base::Instant aNow)
+void
+IssuePermits(RateLimit& aLimit, base::Instant aNow)
 {
-  return std::floor(IssuedBy(aLimit, aNow)) > static_cast<double>(LastGone(aLimit, aNow));
+  int64_t lapsed = NumberAt(aLimit, aNow - kPermitLifetime);
+  auto valid = std::upper_bound(aLimit.held.begin(), aLimit.held.end(), lapsed);
+  aLimit.held.erase(aLimit.held.begin(), valid);
+  int64_t last = NumberAt(aLimit, aNow);
+  for (int64_t number = std::max(aLimit.lastIssued, lapsed) + 1; number <= last; ++number) {
+    if (IsOwn(aLimit, number)) {
+      aLimit.held.push_back(number);
+    }
+  }
+  aLimit.lastIssued = std::max(aLimit.lastIssued, last);
 }
 
-base::Instant
-NextPermitAt(const RateLimit& aLimit, base::Instant aNow)
+void
+UsePermit(RateLimit& aLimit)
 {
-  double missing = static_cast<double>(LastGone(aLimit, aNow) + 1) - IssuedBy(aLimit, aNow);
-  if (missing <= 0.0) {
-    return aNow;
-  }
-  return aNow + base::FromFractionalMillis(1000.0 * missing / aLimit.perSecond);
+  assert(!aLimit.held.empty() && "a request needs a permit");
+  aLimit.held.erase(aLimit.held.begin());
 }
 
-void
-UsePermit(RateLimit& aLimit, base::Instant aNow)
+std::optional<base::Instant>
+NextPermitAt(const RateLimit& aLimit, base::Instant aUntil)
 {
-  aLimit.lastUsed = LastGone(aLimit, aNow) + 1;
+  int64_t last = NumberAt(aLimit, aUntil);
+  for (int64_t number = aLimit.lastIssued + 1; number <= last; ++number) {
+    if (IsOwn(aLimit, number)) {
+      return IssuedAt(aLimit, number);
+    }
+  }
+  return std::nullopt;
 }
 
 } // namespace sapphirewind::dispatch
--- a/libs/dispatch/src/Upstream.cpp
+++ b/libs/dispatch/src/Upstream.cpp
@@ -152,10 +152,10 @@
 }
 
 bool
-HasCapacity(const Upstream& aUpstream, base::Instant aNow)
+HasCapacity(const Upstream& aUpstream)
 {
   return !aUpstream.draining && aUpstream.outstanding.size() < aUpstream.maxInFlight &&
-         (!aUpstream.rateLimit || HasPermit(*aUpstream.rateLimit, aNow));
+         (!aUpstream.rateLimit || HasPermit(*aUpstream.rateLimit));
 }
 
 bool
@@ -177,7 +177,7 @@
   for (size_t index = 0; index < aUpstreams.size(); ++index) {
     const Upstream& upstream = *aUpstreams[index];
     bool isExcluded = std::find(aExcluded.begin(), aExcluded.end(), index) != aExcluded.end();
-    if (isExcluded || !HasCapacity(upstream, aNow)) {
+    if (isExcluded || !HasCapacity(upstream)) {
       continue;
     }
     bool ejected = IsEjected(upstream, aNow);
@@ -200,8 +200,8 @@
   assert(aUpstream.outstanding.count(aRequest) == 0 && "an upstream request id must be unique");
   aUpstream.outstanding.emplace(aRequest,
                                 OutstandingRequest{ .sentAt = aNow, .expected = aExpected });
-  if (aUpstream.rateLimit) {
-    UsePermit(*aUpstream.rateLimit, aNow);
+  if (aUpstream.rateLimit && HasPermit(*aUpstream.rateLimit)) {
+    UsePermit(*aUpstream.rateLimit);
   }
 }
 
@@ -272,7 +272,7 @@
 }
 
 void
-OnRateReport(Upstream& aUpstream, const RateReport& aReport, double aPhase, base::Instant aNow)
+OnRateReport(Upstream& aUpstream, const RateReport& aReport, base::Instant aNow)
 {
   if (aReport.sentAt < aUpstream.rateReportSentAt) {
     return;
@@ -282,24 +282,43 @@
     aUpstream.rateLimit.reset();
     return;
   }
-  aUpstream.namedRate = *aReport.perSecond;
-  double perSecond = PermitRate(aUpstream.namedRate, aUpstream.rateShare);
+  RateLimitOptions options{ .server = aUpstream.permitSeed,
+                            .serverRate = *aReport.perSecond,
+                            .arc = aUpstream.permitArc,
+                            .wallOffset = aReport.wallOffset };
   if (aUpstream.rateLimit) {
-    SetRate(*aUpstream.rateLimit, perSecond, aNow);
+    UpdateRateLimit(*aUpstream.rateLimit, options, aNow);
   } else {
-    aUpstream.rateLimit = MakeRateLimit(perSecond, aPhase, aNow);
+    aUpstream.rateLimit = MakeRateLimit(options, aNow);
   }
 }
 
 void
-SetRateShare(Upstream& aUpstream, double aShare, base::Instant aNow)
+SetPermitArc(Upstream& aUpstream, const InstanceArc& aArc, base::Instant aNow)
 {
-  aUpstream.rateShare = aShare;
+  aUpstream.permitArc = aArc;
   if (aUpstream.rateLimit) {
-    SetRate(*aUpstream.rateLimit, PermitRate(aUpstream.namedRate, aShare), aNow);
+    RateLimitOptions options = aUpstream.rateLimit->options;
+    options.arc = aArc;
+    UpdateRateLimit(*aUpstream.rateLimit, options, aNow);
   }
 }
 
+void
+IssuePermits(Upstream& aUpstream, base::Instant aNow)
+{
+  if (aUpstream.rateLimit) {
+    IssuePermits(*aUpstream.rateLimit, aNow);
+  }
+}
+
+bool
+MayHaveCapacity(const Upstream& aUpstream, base::Instant aBefore)
+{
+  return !aUpstream.rateLimit || HasPermit(*aUpstream.rateLimit) ||
+         NextPermitAt(*aUpstream.rateLimit, aBefore).has_value();
+}
+
 void
 OnLoadReport(Upstream& aUpstream, const LoadReport& aReport, base::Instant aNow)
 {
--- a/libs/engine/include/engine/ServiceCall.h
+++ b/libs/engine/include/engine/ServiceCall.h
@@ -72,6 +72,10 @@
   /// time counted as received. Extra attempts are admitted according to it.
   void SetShortfall(size_t aParts) { this->shortfall = aParts; }
 
+  /// Whether a server may have capacity before a time. False only if all servers in service limit
+  /// their request rate, and this instance's permits come later.
+  bool MayHaveCapacity(base::Instant aNow, base::Instant aBefore) const;
+
   /// Whether an attempt is open and its hedge delay is not over.
   bool HasOnTimeAttempt(base::Instant aNow) const;
 
--- a/libs/engine/include/engine/UpstreamPool.h
+++ b/libs/engine/include/engine/UpstreamPool.h
@@ -20,6 +20,8 @@
   {
     Loop& loop;
     const WireCodec& codec;
+    /// The name and availability zone of this instance.
+    std::string instance;
     std::string zone;
     /// Regions by availability zone.
     std::map<std::string, std::string> regions;
@@ -41,8 +43,9 @@
               const directory::RouteTable* aRoutes,
               base::Instant aNow);
 
-  /// Sets the number of instances, by region, that share connections and budgets.
-  void SetInstances(const std::map<std::string, size_t>& aByRegion);
+  /// Sets the instances, in the order of their names, that share connections, request rates and
+  /// budgets. Returns whether they changed; the next Update applies it.
+  bool SetInstances(const std::vector<directory::InstanceEntry>& aLive);
 
   /// Changes the limits of retries and hedges.
   void SetExtraAttemptLimits(double aShare, double aMinimum);
@@ -84,7 +87,9 @@
   void SetShares(UpstreamServer& aServer,
                  const directory::Server& aDescription,
                  unsigned aConnectionLimit,
-                 base::Instant aNow) const;
+                 base::Instant aNow);
+  /// This instance's part of the request rate of a server in a region.
+  dispatch::InstanceArc PermitArcFor(const std::string& aServerRegion);
   const std::string& RegionOf(const std::string& aZone) const;
   base::Duration AssumedRoundTrip(const std::string& aZone) const;
 
@@ -93,6 +98,9 @@
   base::Instant startedAt;
   base::Instant lastSourceAnswer;
   std::map<std::string, size_t> instancesByRegion;
+  std::vector<directory::InstanceEntry> live;
+  /// This instance's part by the region of the server, of those that were asked for.
+  std::map<std::string, dispatch::InstanceArc> arcs;
   std::map<std::string, std::shared_ptr<UpstreamServer>> byId;
   std::unordered_map<std::string, Servers> byService;
   std::unordered_map<std::string, std::shared_ptr<dispatch::ServiceTimeEstimate>> serviceTimes;
--- a/libs/engine/include/engine/UpstreamServer.h
+++ b/libs/engine/include/engine/UpstreamServer.h
@@ -101,10 +101,10 @@
   void Drain();
   bool IsDrained() const { return this->drained; }
 
-  /// Limits what this instance uses of the server: its connections, and its part, from 0 to 1, of a
-  /// request rate that the server names.
+  /// Limits what this instance uses of the server: its connections, and its part of a request rate
+  /// that the server names.
   void SetShare(const dispatch::ConnectionShare& aConnections,
-                double aRateShare,
+                const dispatch::InstanceArc& aPermitArc,
                 base::Instant aNow);
 
   /// Closes idle connections near the server's keep-alive timeout and those beyond the limit on
--- a/libs/engine/src/ClusterState.cpp
+++ b/libs/engine/src/ClusterState.cpp
@@ -323,11 +323,16 @@
 {
   base::Instant now = base::Now();
   this->UpdatePlan(aTracker, now);
-  this->peers = directory::ListLive(aTracker, now);
+  std::vector<directory::InstanceEntry> live = directory::ListLive(aTracker, now);
+  bool changed = this->options.context.upstreams.SetInstances(live);
+  size_t count = live.size();
+  this->peers = std::move(live);
   std::erase_if(this->peers, [this](const directory::InstanceEntry& aEntry) {
     return aEntry.name == this->options.instance;
   });
-  size_t count = directory::CountLive(aTracker, now);
+  if (changed) {
+    this->UpdateUpstreams();
+  }
   if (count == this->instances) {
     return;
   }
@@ -335,8 +340,6 @@
   telemetry::Log(
     telemetry::Event::InstancesCounted,
     { { "instances", count }, { "mirrors", this->serverSources.plan.candidates.size() } });
-  this->options.context.upstreams.SetInstances(directory::CountByRegion(aTracker, now));
-  this->UpdateUpstreams();
 }
 
 void
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -48,6 +48,7 @@
     , wire(aOptions.wire)
     , upstreams(UpstreamPool::Options{ .loop = this->loop,
                                        .codec = this->wire,
+                                       .instance = this->settings.instance,
                                        .zone = this->settings.zone,
                                        .regions = this->settings.regions,
                                        .extraShare = this->settings.extraShare,
--- a/libs/engine/src/PlainRequestHandler.cpp
+++ b/libs/engine/src/PlainRequestHandler.cpp
@@ -57,7 +57,8 @@
     return;
   }
   bool hasNoCapacity =
-    refusal == dispatch::RequestFailure::NotExecuted && now >= this->RefusalDeadline();
+    refusal == dispatch::RequestFailure::NotExecuted &&
+    (now >= this->RefusalDeadline() || !this->call->MayHaveCapacity(now, this->RefusalDeadline()));
   if (failed || deadlineExceeded || hasNoCapacity) {
     this->Refuse(
       refusal, deadlineExceeded ? kDeadlineExceeded : (failed ? kAttemptsExhausted : kNoCapacity));
--- a/libs/engine/src/ScatterGatherHandler.cpp
+++ b/libs/engine/src/ScatterGatherHandler.cpp
@@ -35,6 +35,9 @@
 void
 ScatterGatherHandler::StartCalls(base::Instant aNow)
 {
+  if (this->started == 0 && this->LacksCapacity(aNow)) {
+    return;
+  }
   bool mayStartAll =
     !this->request->isSuspect ||
     (this->started > 0 && this->calls.front()->CurrentState() == ServiceCall::State::Answered);
@@ -44,6 +47,16 @@
   }
 }
 
+bool
+ScatterGatherHandler::LacksCapacity(base::Instant aNow) const
+{
+  auto capable = std::count_if(this->calls.begin(), this->calls.end(), [&](const auto& aCall) {
+    return aCall->MayHaveCapacity(aNow, this->RefusalDeadline());
+  });
+  size_t minParts = dispatch::MinParts(this->calls.size(), this->request->route->minCoverage);
+  return static_cast<size_t>(capable) < minParts;
+}
+
 base::Instant
 ScatterGatherHandler::AnswerBy() const
 {
@@ -114,7 +127,7 @@
     this->MergeAndRespond();
     return;
   }
-  bool hasNoCapacity = now >= this->RefusalDeadline() && this->NothingRan();
+  bool hasNoCapacity = this->started == 0 || (now >= this->RefusalDeadline() && this->NothingRan());
   bool firstCallFailed = this->started < this->calls.size() &&
                          this->calls.front()->CurrentState() == ServiceCall::State::Failed;
   if (firstCallFailed || step == dispatch::GatherStep::GiveUp || deadlineExceeded ||
--- a/libs/engine/src/ScatterGatherHandler.h
+++ b/libs/engine/src/ScatterGatherHandler.h
@@ -34,6 +34,8 @@
   void MergeAndRespond();
   /// Starts the calls that are not started yet. For a request suspected of crashing servers, only
   /// the first call starts until it is answered.
+  /// Whether servers that limit their request rate leave too few shards for the minimum coverage.
+  bool LacksCapacity(base::Instant aNow) const;
   void StartCalls(base::Instant aNow);
 
   std::vector<std::shared_ptr<ServiceCall>> calls;
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -129,6 +129,24 @@
   return !this->openAttempts.empty() && aNow < this->hedgeAt;
 }
 
+bool
+ServiceCall::MayHaveCapacity(base::Instant aNow, base::Instant aBefore) const
+{
+  const UpstreamPool::Servers& servers =
+    this->options.context.upstreams.ServersOf(this->options.service);
+  bool anyInService = false;
+  for (const auto& server : servers) {
+    dispatch::IssuePermits(server->State(), aNow);
+    bool inService = !server->State().draining;
+    if (inService && dispatch::MayHaveCapacity(server->State(), aBefore)) {
+      return true;
+    }
+    anyInService = anyInService || inService;
+  }
+  // Servers that have not registered yet may do so in time.
+  return !anyInService;
+}
+
 std::shared_ptr<UpstreamServer>
 ServiceCall::ChooseServer(base::Instant aNow)
 {
@@ -137,6 +155,7 @@
   std::vector<const dispatch::Upstream*> states;
   std::vector<size_t> excludedIndexes;
   for (size_t index = 0; index < servers.size(); ++index) {
+    dispatch::IssuePermits(servers[index]->State(), aNow);
     states.push_back(&servers[index]->State());
     if (this->IsExcluded(*servers[index], aNow)) {
       excludedIndexes.push_back(index);
@@ -308,13 +327,12 @@
   unsigned draining = 0;
   unsigned full = 0;
   unsigned limited = 0;
-  base::Instant now = base::Now();
   const UpstreamPool::Servers& servers =
     this->options.context.upstreams.ServersOf(this->options.service);
   for (const auto& server : servers) {
     bool isDraining = server->State().draining;
     draining += isDraining ? 1 : 0;
-    full += !isDraining && !dispatch::HasCapacity(server->State(), now) ? 1 : 0;
+    full += !isDraining && !dispatch::HasCapacity(server->State()) ? 1 : 0;
     limited += server->State().rateLimit ? 1 : 0;
   }
   aCall["servers"] = Json::UInt64(servers.size());
--- a/libs/engine/src/UpstreamPool.cpp
+++ b/libs/engine/src/UpstreamPool.cpp
@@ -1,6 +1,7 @@
 #include <engine/UpstreamPool.h>
 
 #include <algorithm>
+#include <base/Random.h>
 #include <dispatch/InstanceShare.h>
 #include <telemetry/Events.h>
 
@@ -54,7 +55,7 @@
 UpstreamPool::SetShares(UpstreamServer& aServer,
                         const directory::Server& aDescription,
                         unsigned aConnectionLimit,
-                        base::Instant aNow) const
+                        base::Instant aNow)
 {
   const std::string& region = this->RegionOf(aDescription.zone);
   auto counted = this->instancesByRegion.find(region);
@@ -69,9 +70,24 @@
       .instances = this->instances,
       .sameRegion = sameRegion,
       .recentlyStarted = aNow - this->startedAt < dispatch::kReducedSharePeriod });
-  double rateShare = dispatch::ComputeInstanceShare(
-    { .instancesInRegion = inRegion, .instances = this->instances, .sameRegion = sameRegion });
-  aServer.SetShare(connections, rateShare, aNow);
+  aServer.SetShare(connections, this->PermitArcFor(region), aNow);
+}
+
+dispatch::InstanceArc
+UpstreamPool::PermitArcFor(const std::string& aServerRegion)
+{
+  if (!this->live.empty()) {
+    directory::InstanceEntry self{ .name = this->options.instance,
+                                   .region = this->RegionOf(this->options.zone) };
+    auto [arc, isNew] = this->arcs.try_emplace(aServerRegion);
+    if (isNew) {
+      arc->second = dispatch::ComputeInstanceArc(this->live, self, aServerRegion);
+    }
+    return arc->second;
+  }
+  // Until the instances are listed, each takes a place of its own among as many as are assumed.
+  return { .start = base::UnitFromHash(base::Hash64(this->options.instance)),
+           .length = 1.0 / static_cast<double>(this->instances) };
 }
 
 std::shared_ptr<UpstreamServer>
@@ -137,15 +153,23 @@
   this->byId = std::move(next);
 }
 
-void
-UpstreamPool::SetInstances(const std::map<std::string, size_t>& aByRegion)
+bool
+UpstreamPool::SetInstances(const std::vector<directory::InstanceEntry>& aLive)
 {
-  this->instancesByRegion = aByRegion;
-  this->instances = 0;
-  for (const auto& [region, count] : aByRegion) {
-    this->instances += count;
+  auto isSame = [](const directory::InstanceEntry& aLeft, const directory::InstanceEntry& aRight) {
+    return aLeft.name == aRight.name && aLeft.region == aRight.region;
+  };
+  if (std::equal(aLive.begin(), aLive.end(), this->live.begin(), this->live.end(), isSame)) {
+    return false;
+  }
+  this->live = aLive;
+  this->arcs.clear();
+  this->instances = std::max<size_t>(1, aLive.size());
+  this->instancesByRegion.clear();
+  for (const directory::InstanceEntry& entry : aLive) {
+    ++this->instancesByRegion[entry.region];
   }
-  this->instances = std::max<size_t>(1, this->instances);
+  return true;
 }
 
 void
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -1,6 +1,7 @@
 #include <engine/UpstreamServer.h>
 
 #include <algorithm>
+#include <base/Random.h>
 #include <boost/asio/post.hpp>
 #include <telemetry/Events.h>
 
@@ -145,8 +146,9 @@
   dispatch::Upstream& state = this->server->State();
   bool wasLimited = state.rateLimit.has_value();
   dispatch::OnRateReport(state,
-                         { .perSecond = aResult.meta.requestRate, .sentAt = this->startedAt },
-                         base::UniformUnit(base::ThreadRandom()),
+                         { .perSecond = aResult.meta.requestRate,
+                           .sentAt = this->startedAt,
+                           .wallOffset = base::WallClockOffset(aNow) },
                          aNow);
   if (wasLimited == state.rateLimit.has_value()) {
     return;
@@ -159,8 +161,8 @@
     telemetry::Log(telemetry::Event::ServerLimited,
                    { { "server", description.id },
                      { "service", description.service },
-                     { "per_second", Json::Value(state.namedRate) },
-                     { "share", Json::Value(state.rateShare) } });
+                     { "per_second", Json::Value(state.rateLimit->options.serverRate) },
+                     { "share", Json::Value(state.permitArc.length) } });
   }
 }
 
@@ -171,6 +173,7 @@
   this->state.isRemote = this->options.isRemote;
   this->state.slots = std::max(1U, this->options.server.slots);
   this->state.draining = this->options.server.draining;
+  this->state.permitSeed = base::Hash64(this->options.server.id);
   this->state.coldUntil = base::Now() + this->options.server.coldRemaining;
 }
 
@@ -289,12 +292,12 @@
 
 void
 UpstreamServer::SetShare(const dispatch::ConnectionShare& aConnections,
-                         double aRateShare,
+                         const dispatch::InstanceArc& aPermitArc,
                          base::Instant aNow)
 {
   this->state.maxInFlight = aConnections.maxInUse;
   this->maxIdleConnections = aConnections.maxIdle;
-  dispatch::SetRateShare(this->state, aRateShare, aNow);
+  dispatch::SetPermitArc(this->state, aPermitArc, aNow);
 }
 
 void
