Do not count a time without lists against the heartbeats of others

Cause: an instance that could not list the others for 15 s (an outage of the store) found their heartbeats older than 18 s at the first list afterwards, counted itself alone, and took all connections, extra attempts and permits for itself until the next list. Fix: what a pause in the lists exceeds the usual by is added to the moments of the heartbeats; who stays silent is dropped as before, later by that. Ruled out: more missed heartbeats before an instance counts as dead, which keeps shares small after every stop. The first test failed before (1 of 6); the second holds in both.

--- a/libs/directory/include/directory/InstanceTracker.h
+++ b/libs/directory/include/directory/InstanceTracker.h
@@ -8,6 +8,7 @@
 #include <base/Time.h>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,11 +49,18 @@
   };
 
   std::map<std::string, HeartbeatRecord> heartbeats;
+  /// When the entries were listed last; not set before the first list.
+  std::optional<base::Instant> listedAt;
 };
 
 void
 RecordHeartbeat(InstanceTracker& aTracker, const InstanceEntry& aEntry, base::Instant aNow);
 
+/// Records that a complete list was read. A time without lists, as in an outage of the store, does
+/// not count against the heartbeats that could not be seen in it.
+void
+RecordList(InstanceTracker& aTracker, base::Instant aNow);
+
 /// Heartbeat interval of each instance for a given number of instances.
 base::Duration
 HeartbeatInterval(size_t aInstances);
@@ -68,9 +76,9 @@
 std::vector<InstanceEntry>
 ListLive(const InstanceTracker& aTracker, base::Instant aNow);
 
-/// Live instances by region.
+/// The number of instances by region.
 std::map<std::string, size_t>
-CountByRegion(const InstanceTracker& aTracker, base::Instant aNow);
+CountByRegion(const std::vector<InstanceEntry>& aInstances);
 
 /// Extracts expired entries, which the caller is to remove from the store.
 std::vector<std::string>
--- a/libs/directory/src/InstanceTracker.cpp
+++ b/libs/directory/src/InstanceTracker.cpp
@@ -6,6 +6,13 @@
 
 namespace {
 
+/// The longest usual pause between lists, which come with a jitter of a quarter.
+base::Duration
+UsualListPause(size_t aInstances)
+{
+  return ListInterval(aInstances) * 3 / 2;
+}
+
 bool
 IsLive(const InstanceTracker& aTracker,
        const InstanceTracker::HeartbeatRecord& aHeartbeat,
@@ -26,6 +33,19 @@
   }
 }
 
+void
+RecordList(InstanceTracker& aTracker, base::Instant aNow)
+{
+  if (aTracker.listedAt) {
+    base::Duration unseen = aNow - *aTracker.listedAt - UsualListPause(aTracker.heartbeats.size());
+    for (auto& [name, heartbeat] : aTracker.heartbeats) {
+      bool mayHaveBeaten = unseen > base::Duration(0) && heartbeat.changedAt < aNow;
+      heartbeat.changedAt += mayHaveBeaten ? unseen : base::Duration(0);
+    }
+  }
+  aTracker.listedAt = aNow;
+}
+
 base::Duration
 HeartbeatInterval(size_t aInstances)
 {
@@ -59,10 +79,10 @@
 }
 
 std::map<std::string, size_t>
-CountByRegion(const InstanceTracker& aTracker, base::Instant aNow)
+CountByRegion(const std::vector<InstanceEntry>& aInstances)
 {
   std::map<std::string, size_t> counts;
-  for (const InstanceEntry& entry : ListLive(aTracker, aNow)) {
+  for (const InstanceEntry& entry : aInstances) {
     ++counts[entry.region];
   }
   return counts;
--- a/libs/directory/test/InstanceTrackerTest.cpp
+++ b/libs/directory/test/InstanceTrackerTest.cpp
@@ -56,11 +56,35 @@
 {
   InstanceTracker tracker = MakeTracker(2);
   RecordHeartbeat(tracker, MakeEntry("elsewhere", 1, "other"), kStart);
-  auto counts = CountByRegion(tracker, kStart);
+  auto counts = CountByRegion(ListLive(tracker, kStart));
   BOOST_TEST(counts["r"] == 2U);
   BOOST_TEST(counts["other"] == 1U);
 }
 
+// Guards against shares of a few that each take for all when the store is back.
+BOOST_AUTO_TEST_CASE(counts_all_instances_after_a_time_in_which_none_could_be_listed)
+{
+  InstanceTracker tracker = MakeTracker(6);
+  RecordList(tracker, kStart + kMinListInterval);
+  base::Instant back = kStart + kMinListInterval + 15s;
+  RecordHeartbeat(tracker, MakeEntry("i0", 2), back);
+  RecordList(tracker, back);
+  BOOST_TEST(CountLive(tracker, back) == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_count_instances_that_stay_silent_after_such_a_time)
+{
+  InstanceTracker tracker = MakeTracker(6);
+  RecordList(tracker, kStart);
+  base::Instant now = kStart + 30s;
+  for (uint64_t round = 1; round <= 4; ++round) {
+    RecordHeartbeat(tracker, MakeEntry("i0", 1 + round), now);
+    RecordList(tracker, now);
+    now += kMinListInterval;
+  }
+  BOOST_TEST(CountLive(tracker, now - kMinListInterval) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(lists_the_entries_less_often_the_more_there_are)
 {
   BOOST_TEST((ListInterval(6) == kMinListInterval));
--- a/libs/engine/src/ClusterState.cpp
+++ b/libs/engine/src/ClusterState.cpp
@@ -325,7 +325,7 @@
   this->UpdatePlan(aTracker, now);
   std::vector<directory::InstanceEntry> live = directory::ListLive(aTracker, now);
   bool changed = this->options.context.upstreams.SetInstances(live);
-  size_t count = live.size();
+  size_t count = directory::CountLive(aTracker, now);
   this->peers = std::move(live);
   std::erase_if(this->peers, [this](const directory::InstanceEntry& aEntry) {
     return aEntry.name == this->options.instance;
--- a/libs/engine/src/InstanceRegistration.cpp
+++ b/libs/engine/src/InstanceRegistration.cpp
@@ -151,6 +151,7 @@
 InstanceRegistration::OnListComplete()
 {
   ++this->lists;
+  directory::RecordList(this->tracker, base::Now());
   this->options.onInstancesListed(this->tracker);
   this->expired = directory::ExtractExpired(this->tracker, base::Now());
   this->RemoveExpired();
--- a/libs/engine/src/UpstreamPool.cpp
+++ b/libs/engine/src/UpstreamPool.cpp
@@ -165,10 +165,7 @@
   this->live = aLive;
   this->arcs.clear();
   this->instances = std::max<size_t>(1, aLive.size());
-  this->instancesByRegion.clear();
-  for (const directory::InstanceEntry& entry : aLive) {
-    ++this->instancesByRegion[entry.region];
-  }
+  this->instancesByRegion = directory::CountByRegion(aLive);
   return true;
 }
 
