--- a/libs/engine/include/engine/InstanceStatus.h
+++ b/libs/engine/include/engine/InstanceStatus.h
@@ -23,6 +23,8 @@
   size_t serversReady = 0;
   size_t serversDraining = 0;
   size_t serversEjected = 0;
+  /// Of those in use, servers that limit their request rate.
+  size_t serversLimited = 0;
   /// The remaining part, from 0 to 1, of the emptiest extra-attempt budget, and its service.
   double lowestBudget = 1.0;
   std::string lowestBudgetService;
--- a/libs/engine/include/engine/UpstreamPool.h
+++ b/libs/engine/include/engine/UpstreamPool.h
@@ -74,6 +74,8 @@
     size_t ready = 0;
     size_t draining = 0;
     size_t ejected = 0;
+    /// Of those ready or ejected, servers that limit their request rate.
+    size_t limited = 0;
     /// Remaining part of the budget, from 0 to 1.
     double lowestBudget = 1.0;
     std::string lowestBudgetService;
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -177,6 +177,7 @@
                            .serversReady = servers.ready,
                            .serversDraining = servers.draining,
                            .serversEjected = servers.ejected,
+                           .serversLimited = servers.limited,
                            .lowestBudget = servers.lowestBudget,
                            .lowestBudgetService = servers.lowestBudgetService,
                            .sessions = this->ingress.Sessions(),
--- a/libs/engine/src/InstanceStatus.cpp
+++ b/libs/engine/src/InstanceStatus.cpp
@@ -14,6 +14,7 @@
   root["servers"]["ready"] = Json::UInt64(aStatus.serversReady);
   root["servers"]["draining"] = Json::UInt64(aStatus.serversDraining);
   root["servers"]["ejected"] = Json::UInt64(aStatus.serversEjected);
+  root["servers"]["limited"] = Json::UInt64(aStatus.serversLimited);
   root["servers"]["heard_ms"] = Json::Int64(base::ToMillis(aStatus.serverTableAge));
   root["store"]["lost"] = aStatus.storeLost;
   root["store"]["follows"] = aStatus.follows;
--- a/libs/engine/src/Metrics.cpp
+++ b/libs/engine/src/Metrics.cpp
@@ -120,6 +120,7 @@
   servers("ready", aStatus.serversReady);
   servers("draining", aStatus.serversDraining);
   servers("ejected", aStatus.serversEjected);
+  servers("limited", aStatus.serversLimited);
   auto status = [this](const char* aName, double aValue) {
     this->impl->statusGauges->Add({ { "of", aName } }).Set(aValue);
   };
--- a/libs/engine/src/UpstreamPool.cpp
+++ b/libs/engine/src/UpstreamPool.cpp
@@ -220,6 +220,7 @@
   Summary summary;
   for (const auto& [id, server] : this->byId) {
     const dispatch::Upstream& state = server->State();
+    summary.limited += !state.draining && state.rateLimit ? 1 : 0;
     if (state.draining) {
       ++summary.draining;
     } else if (dispatch::IsEjected(state, aNow)) {
--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -123,7 +123,7 @@
 {
   fakes::SearchServer& server = *this->RandomServer().server;
   fakes::ServerBehaviour behaviour;
-  size_t kind = base::UniformIndex(this->random, 8);
+  size_t kind = base::UniformIndex(this->random, 9);
   switch (kind) {
     case 0:
       behaviour.shedProbability = 0.5;
@@ -146,6 +146,9 @@
     case 6:
       behaviour.serviceTime = std::chrono::milliseconds(60);
       break;
+    case 7:
+      behaviour.requestRate = static_cast<double>(base::UniformIndex(this->random, 20));
+      break;
     default:
       server.SetDown(true);
       this->ScheduleRecovery(aNow, [&server] { server.SetDown(false); });
--- a/test/soak/ProcessCluster.cpp
+++ b/test/soak/ProcessCluster.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr const char* kLoopback = "127.0.0.1";
+/// Routes that some versions of the configuration have in addition, about 250 KB.
+constexpr size_t kLargeRoutes = 1500;
 
 /// Finds an unused port below the ephemeral port range.
 uint16_t
@@ -202,6 +204,12 @@
     extra["service"] = "p";
     root["routes"].append(extra);
   }
+  bool isLarge = this->version % 4 == 0;
+  for (size_t number = 0; isLarge && number < kLargeRoutes; ++number) {
+    Json::Value extra = MakeRoute("/large-" + std::to_string(number) + "/", "idempotent");
+    extra["service"] = "p";
+    root["routes"].append(extra);
+  }
   this->store.Put("config", "main", root);
 }
 
--- a/test/soak/ProcessCluster.h
+++ b/test/soak/ProcessCluster.h
@@ -52,7 +52,8 @@
   bool IsReady(const InstanceProcess& aInstance) const;
 
   void Register(RelayedServer& aServer, const std::string& aState);
-  /// Writes the next configuration version to the store. Odd versions contain an additional route.
+  /// Writes the next configuration version to the store. Odd versions contain an additional route,
+  /// each fourth one 1,500.
   void PublishConfiguration();
   /// Removes all faults of relays, servers and the store, and resumes suspended processes.
   void ClearFaults();
