Tell a server the time that is left when its request is written

Cause: the time left was put into the request when it was made, and the request was written once a connection stood: up to 250 ms later, and as much more as the loop was busy meanwhile. Fix: the connection sets it as it writes; a request whose deadline has passed by then is not sent and counts as not executed. Ruled out: a check when the connection stands, as the header would stay too long by less than the check allows.

--- a/libs/engine/include/engine/ServiceCall.h
+++ b/libs/engine/include/engine/ServiceCall.h
@@ -119,7 +119,7 @@
   std::shared_ptr<UpstreamServer> ChooseServer(base::Instant aNow);
   /// Whether a server must not be selected now.
   bool IsExcluded(const UpstreamServer& aServer, base::Instant aNow) const;
-  std::shared_ptr<HttpRequest> MakeRequest(const UpstreamServer& aServer, base::Instant aNow) const;
+  UpstreamRequest MakeRequest() const;
   void OnEnd(const std::shared_ptr<Attempt>& aAttempt, ExchangeResult&& aResult);
   /// Adds the number of known servers and of those that are draining or at capacity.
   void DescribeServers(Json::Value& aCall) const;
--- a/libs/engine/include/engine/UpstreamConnection.h
+++ b/libs/engine/include/engine/UpstreamConnection.h
@@ -21,6 +21,17 @@
   const char* cause = "";
 };
 
+/// A request to a server.
+struct UpstreamRequest
+{
+  std::shared_ptr<HttpRequest> message;
+  std::string id;
+  std::string targetId;
+  /// The server is told the time left until then as the request is written, which may be long after
+  /// it was made: a connection is opened first, by a loop that may be busy.
+  base::Instant deadline{};
+};
+
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection>
 {
 public:
@@ -45,7 +56,8 @@
   explicit UpstreamConnection(Options aOptions);
 
   /// Sends a request, after connecting if necessary. Precondition: no exchange is in progress.
-  void Exchange(std::shared_ptr<HttpRequest> aRequest, std::string aRequestId, OnResult aOnResult);
+  /// A request whose deadline passes before it is written ends as NotConnected.
+  void Exchange(UpstreamRequest aRequest, OnResult aOnResult);
 
   /// Closes the connection. An exchange in progress ends as Lost or NotConnected.
   void Close(const char* aCause);
@@ -89,8 +101,7 @@
   State state = State::Unconnected;
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
-  std::shared_ptr<HttpRequest> request;
-  std::string requestId;
+  UpstreamRequest request;
   OnResult onResult;
   bool requestWritten = false;
   /// Writing has started, so the server may have received the request.
--- a/libs/engine/include/engine/UpstreamServer.h
+++ b/libs/engine/include/engine/UpstreamServer.h
@@ -82,9 +82,9 @@
     RequireNew
   };
 
-  /// Sends a request. aOnEnd is called later, never from within this call.
-  std::shared_ptr<Attempt> Send(std::shared_ptr<HttpRequest> aRequest,
-                                const std::string& aRequestId,
+  /// Sends a request, with this server as its target. aOnEnd is called later, never from within
+  /// this call.
+  std::shared_ptr<Attempt> Send(UpstreamRequest aRequest,
                                 std::shared_ptr<dispatch::ServiceTimeEstimate> aServiceTime,
                                 ConnectionPolicy aPolicy,
                                 Attempt::OnEnd aOnEnd);
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -177,8 +177,7 @@
   base::Duration expected = dispatch::ExpectedLatency(aServer->State(), *this->serviceTime, aNow);
   this->RecordStart(aServer, expected, aNow);
   std::shared_ptr<Attempt> attempt =
-    aServer->Send(this->MakeRequest(*aServer, aNow),
-                  incoming.meta.id,
+    aServer->Send(this->MakeRequest(),
                   this->serviceTime,
                   idempotent ? UpstreamServer::ConnectionPolicy::ReuseIdle
                              : UpstreamServer::ConnectionPolicy::RequireNew,
@@ -227,18 +226,14 @@
   return dispatch::ExpectedLatency(other->State(), *this->serviceTime, aNow);
 }
 
-std::shared_ptr<HttpRequest>
-ServiceCall::MakeRequest(const UpstreamServer& aServer, base::Instant aNow) const
+UpstreamRequest
+ServiceCall::MakeRequest() const
 {
   const IncomingRequest& incoming = *this->options.request;
-  auto request = std::make_shared<HttpRequest>(*incoming.message);
-  request->version(11);
-  request->keep_alive(true);
-  this->options.context.codec.writeUpstreamRequest(
-    *request,
-    UpstreamRequestMeta{ .remaining = incoming.deadline - aNow,
-                         .targetId = aServer.Description().id });
-  return request;
+  auto message = std::make_shared<HttpRequest>(*incoming.message);
+  message->version(11);
+  message->keep_alive(true);
+  return { .message = std::move(message), .id = incoming.meta.id, .deadline = incoming.deadline };
 }
 
 void
--- a/libs/engine/src/UpstreamConnection.cpp
+++ b/libs/engine/src/UpstreamConnection.cpp
@@ -1,6 +1,7 @@
 #include <engine/UpstreamConnection.h>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <cassert>
 #include <charconv>
 
@@ -57,13 +58,10 @@
 }
 
 void
-UpstreamConnection::Exchange(std::shared_ptr<HttpRequest> aRequest,
-                             std::string aRequestId,
-                             OnResult aOnResult)
+UpstreamConnection::Exchange(UpstreamRequest aRequest, OnResult aOnResult)
 {
   assert(!this->onResult && "an exchange is already in progress");
   this->request = std::move(aRequest);
-  this->requestId = std::move(aRequestId);
   this->onResult = std::move(aOnResult);
   this->requestWritten = false;
   this->mayHaveSent = false;
@@ -108,21 +106,30 @@
 void
 UpstreamConnection::Write()
 {
+  base::Duration remaining = this->request.deadline - base::Now();
+  if (remaining <= base::Duration(0)) {
+    // Results are reported later, never from within Exchange.
+    asio::post(this->options.loop,
+               [self = this->shared_from_this()] { self->Close("deadline passed"); });
+    return;
+  }
+  this->options.codec.writeUpstreamRequest(
+    *this->request.message, { .remaining = remaining, .targetId = this->request.targetId });
   this->state = State::Busy;
   this->mayHaveSent = true;
   this->ResetParser();
   auto self = this->shared_from_this();
-  http::async_write(
-    this->socket, *this->request, [self, sent = this->request](ErrorCode aError, size_t) {
-      if (self->state != State::Busy || self->request != sent) {
-        return;
-      }
-      if (aError) {
-        self->Close("write failed");
-        return;
-      }
-      self->requestWritten = true;
-    });
+  auto message = this->request.message;
+  http::async_write(this->socket, *message, [self, message](ErrorCode aError, size_t) {
+    if (self->state != State::Busy || self->request.message != message) {
+      return;
+    }
+    if (aError) {
+      self->Close("write failed");
+      return;
+    }
+    self->requestWritten = true;
+  });
 }
 
 void
@@ -236,7 +243,7 @@
   }
   ExchangeResult result;
   result.meta = this->options.codec.readResponse(response);
-  bool stray = !result.meta.requestId.empty() && result.meta.requestId != this->requestId;
+  bool stray = !result.meta.requestId.empty() && result.meta.requestId != this->request.id;
   if (stray && this->strayResponses < kMaxStrayResponses && response.keep_alive()) {
     ++this->strayResponses;
     this->ResetParser();
@@ -283,7 +290,7 @@
   this->state = State::Idle;
   this->idleSince = base::Now();
   this->ReleaseBytes();
-  this->request.reset();
+  this->request = {};
   this->options.onIdle(this->shared_from_this());
 }
 
@@ -323,7 +330,7 @@
   this->parser->eager(true);
   this->parser->body_limit(kMaxResponseBytes);
   this->parser->header_limit(kMaxHeaderBytes);
-  if (this->request && this->request->method() == http::verb::head) {
+  if (this->request.message && this->request.message->method() == http::verb::head) {
     this->parser->skip(true);
   }
 }
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -178,8 +178,7 @@
 }
 
 std::shared_ptr<Attempt>
-UpstreamServer::Send(std::shared_ptr<HttpRequest> aRequest,
-                     const std::string& aRequestId,
+UpstreamServer::Send(UpstreamRequest aRequest,
                      std::shared_ptr<dispatch::ServiceTimeEstimate> aServiceTime,
                      ConnectionPolicy aPolicy,
                      Attempt::OnEnd aOnEnd)
@@ -191,10 +190,9 @@
   auto attempt = std::make_shared<Attempt>(
     this->shared_from_this(), std::move(aServiceTime), number, std::move(aOnEnd));
   attempt->connection = this->AcquireConnection(aPolicy, now);
+  aRequest.targetId = this->Description().id;
   attempt->connection->Exchange(
-    std::move(aRequest), aRequestId, [attempt](ExchangeResult&& aResult) {
-      attempt->End(std::move(aResult));
-    });
+    std::move(aRequest), [attempt](ExchangeResult&& aResult) { attempt->End(std::move(aResult)); });
   return attempt;
 }
 
--- a/libs/engine/test/EndlessBytesTest.cpp
+++ b/libs/engine/test/EndlessBytesTest.cpp
@@ -127,7 +127,9 @@
   {
     auto request = std::make_shared<HttpRequest>(http::verb::get, "/", 11);
     request->set(http::field::host, "s");
-    this->connection->Exchange(request, "r", [this](ExchangeResult&& aResult) {
+    this->codec.writeUpstreamRequest = [](http::fields&, const UpstreamRequestMeta&) {};
+    UpstreamRequest sent{ .message = request, .id = "r", .deadline = base::Now() + 1h };
+    this->connection->Exchange(sent, [this](ExchangeResult&& aResult) {
       ++this->results;
       this->result = std::move(aResult);
     });
