--- a/libs/dispatch/src/ConnectionShare.cpp
+++ b/libs/dispatch/src/ConnectionShare.cpp
@@ -13,9 +13,9 @@
 constexpr double kUsableFraction = 0.9;
 /// The same after a start, while connections from before the restart may still be open.
 constexpr double kUsableFractionAfterStart = 0.55;
-/// Fraction of the usable connections for the instances in the server's region.
-constexpr double kSameRegionFraction = 0.5;
-constexpr double kSameRegionFractionAfterStart = 0.6;
+/// Part of the usable connections for the instances in the server's region after a start; otherwise
+/// kRegionPart.
+constexpr double kRegionPartAfterStart = 0.6;
 
 } // namespace
 
@@ -27,7 +27,7 @@
     { .instancesInRegion = aInput.instancesInRegion,
       .instances = aInput.instances,
       .sameRegion = aInput.sameRegion,
-      .regionPart = aInput.recentlyStarted ? kSameRegionFractionAfterStart : kSameRegionFraction });
+      .regionPart = aInput.recentlyStarted ? kRegionPartAfterStart : kRegionPart });
   double share = usableFraction * static_cast<double>(aInput.limit) * part;
   ConnectionShare result;
   result.maxInUse = static_cast<unsigned>(std::max(1.0, std::round(share)));
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -267,14 +267,18 @@
 void
 StoreFollower::Fail(const char* aCause, directory::MirrorFailure aFailure)
 {
-  telemetry::Log(telemetry::Event::StoreCallFailed,
-                 { { "follows", NameOf(this->options.kind) },
-                   { "source", FormatEndpoint(this->source.endpoint) },
-                   { "from_mirror", this->source.isMirror },
-                   { "call", this->listing ? "list" : "watch" },
-                   { "why", aCause },
-                   { "received", this->lastRead.bytes },
-                   { "took_ms", base::ToMillis(this->lastRead.took) } });
+  bool isRefusalOfMirror =
+    this->source.isMirror && aFailure == directory::MirrorFailure::NotCurrent;
+  if (!isRefusalOfMirror) {
+    telemetry::Log(telemetry::Event::StoreCallFailed,
+                   { { "follows", NameOf(this->options.kind) },
+                     { "source", FormatEndpoint(this->source.endpoint) },
+                     { "from_mirror", this->source.isMirror },
+                     { "call", this->listing ? "list" : "watch" },
+                     { "why", aCause },
+                     { "received", this->lastRead.bytes },
+                     { "took_ms", base::ToMillis(this->lastRead.took) } });
+  }
   this->RestartList();
   this->options.onSourceFailed(this->source, aFailure);
   ++this->consecutiveFailures;
