--- a/libs/engine/src/ClientSession.cpp
+++ b/libs/engine/src/ClientSession.cpp
@@ -122,8 +122,8 @@
 void
 ClientSession::NoteWaitingBytes()
 {
-  ErrorCode error;
-  bool waiting = this->socket.available(error) > 0;
+  ErrorCode ignored; // The read that follows reports what is wrong with the socket.
+  bool waiting = this->socket.available(ignored) > 0;
   this->waitingBytesReceivedAt =
     waiting ? std::optional(this->host.ReceivedAt(base::Now())) : std::nullopt;
 }
