Let the engine say which changes of an answer are read

The adapter is to decide nothing, and chose by itself that older versions of a configuration do not matter. It now gets that with the call.

--- a/libs/engine/include/engine/Wire.h
+++ b/libs/engine/include/engine/Wire.h
@@ -79,8 +79,7 @@
   /// The name after which the next page starts; empty on the last page.
   std::string continueAfter;
   uint64_t revision = 0;
-  /// An answer that says the same as the one read, without the configurations in it that a newer
-  /// one replaces; empty if there were none.
+  /// The answer that was read, without the changes that were left out; empty if there were none.
   std::string shortened;
 };
 
@@ -100,6 +99,14 @@
   Current
 };
 
+/// Which changes of an answer are read.
+enum class ChangeScope
+{
+  All,
+  /// The newest usable one, and what is not usable after it: those before it do not matter.
+  NewestUsable
+};
+
 /// The kinds of objects that an instance watches.
 enum class StoreKind
 {
@@ -125,7 +132,9 @@
   std::string (*listTarget)(StoreKind, const std::string& aAfter, ListAge) = nullptr;
   std::string (*watchTarget)(StoreKind, uint64_t aRevision, base::Duration aWait) = nullptr;
   std::optional<StorePage> (*readList)(StoreKind, const std::string& aBody) = nullptr;
-  std::optional<StorePage> (*readChanges)(StoreKind, const std::string& aBody) = nullptr;
+  std::optional<StorePage> (*readChanges)(StoreKind,
+                                          ChangeScope,
+                                          const std::string& aBody) = nullptr;
   /// The target of a page of the list of all instances' entries, which may be seconds old.
   std::string (*instancesTarget)(const std::string& aAfter) = nullptr;
   /// The target of one instance's entry; with an empty name, the target to create one.
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -41,6 +41,13 @@
   return aObjects.empty() ? MirroredUpdate::None : MirroredUpdate::Changes;
 }
 
+/// The configuration is a single object, so changes before the newest one do not matter.
+ChangeScope
+ScopeOf(StoreKind aKind)
+{
+  return aKind == StoreKind::Configuration ? ChangeScope::NewestUsable : ChangeScope::All;
+}
+
 /// When the store made an answer that a mirror may have relayed.
 base::Instant
 AnsweredAt(const HttpResponse& aResponse, base::Instant aNow)
@@ -245,7 +252,7 @@
 {
   base::Instant decodingSince = base::Now();
   std::optional<StorePage> page =
-    this->options.codec.readChanges(this->options.kind, aBody->Text());
+    this->options.codec.readChanges(this->options.kind, ScopeOf(this->options.kind), aBody->Text());
   this->lastRead.decoding = base::Now() - decodingSince;
   if (!page) {
     this->Fail("malformed changes", directory::MirrorFailure::Unreachable);
