Give each port of a soak's instances out once

Traced in its logs: E0106 of instance-4, address already in use; its settings and those of instance-2 both name port 22473. A port counted as free until its instance listened, and was drawn again meanwhile; with eight instances, 32 ports of 14,000.

--- a/test/soak/ProcessCluster.cpp
+++ b/test/soak/ProcessCluster.cpp
@@ -20,15 +20,17 @@
 /// Routes that some versions of the configuration have in addition, about 250 KB.
 constexpr size_t kLargeRoutes = 1500;
 
-/// Finds an unused port below the ephemeral port range.
+/// Finds an unused port below the ephemeral port range, and adds it to those given out, which an
+/// instance may not listen on yet.
 uint16_t
-FindFreePort(base::Random& aRandom)
+FindFreePort(base::Random& aRandom, std::set<uint16_t>& aGivenOut)
 {
   boost::asio::io_context loop;
   while (true) {
     auto port = static_cast<uint16_t>(17'000 + base::UniformIndex(aRandom, 14'000));
     engine::Tcp::acceptor probe(loop);
-    if (!engine::Listen(probe, { boost::asio::ip::make_address(kLoopback), port })) {
+    bool isFree = !engine::Listen(probe, { boost::asio::ip::make_address(kLoopback), port });
+    if (isFree && aGivenOut.insert(port).second) {
       return port;
     }
   }
@@ -101,8 +103,8 @@
   base::Random random(this->options.seed * 1000 + aNumber + static_cast<uint64_t>(getpid()));
   InstanceProcess instance;
   instance.storeRelay = StartRelay(this->store.Address());
-  instance.callerAddress = LoopbackAddress(FindFreePort(random));
-  instance.statusAddress = LoopbackAddress(FindFreePort(random));
+  instance.callerAddress = LoopbackAddress(FindFreePort(random, this->ports));
+  instance.statusAddress = LoopbackAddress(FindFreePort(random, this->ports));
   Json::Value settings;
   settings["instance"] = "instance-" + std::to_string(aNumber);
   settings["zone"] = std::string(1, static_cast<char>('a' + aNumber % 3));
@@ -111,8 +113,8 @@
   }
   settings["listen_callers"] = instance.callerAddress;
   settings["listen_status"] = instance.statusAddress;
-  settings["listen_metrics"] = LoopbackAddress(FindFreePort(random));
-  settings["listen_peers"] = LoopbackAddress(FindFreePort(random));
+  settings["listen_metrics"] = LoopbackAddress(FindFreePort(random, this->ports));
+  settings["listen_peers"] = LoopbackAddress(FindFreePort(random, this->ports));
   settings["store"] = LoopbackAddress(instance.storeRelay->Port());
   settings["max_descriptors"] = 512;
   settings["extra_share"] = 0.2;
--- a/test/soak/ProcessCluster.h
+++ b/test/soak/ProcessCluster.h
@@ -8,6 +8,7 @@
 #include <fakes/Relay.h>
 #include <fakes/SearchServer.h>
 #include <filesystem>
+#include <set>
 #include <sys/types.h>
 
 namespace sapphirewind::test {
@@ -73,6 +74,8 @@
   InstanceProcess CreateInstance(size_t aNumber);
 
   Options options;
+  /// Ports given out to instances.
+  std::set<uint16_t> ports;
   uint64_t version = 0;
 };
 
