--- a/libs/engine/include/engine/UpstreamConnection.h
+++ b/libs/engine/include/engine/UpstreamConnection.h
@@ -27,8 +27,8 @@
   std::shared_ptr<HttpRequest> message;
   std::string id;
   std::string targetId;
-  /// The server is told the time left until then as the request is written, which may be long after
-  /// it was made: a connection is opened first, by a loop that may be busy.
+  /// The time left until then is computed as the request is written, which may be long after it was
+  /// made: a connection is opened first, and the loop may be busy.
   base::Instant deadline{};
 };
 
--- a/libs/engine/test/ClientSessionTest.cpp
+++ b/libs/engine/test/ClientSessionTest.cpp
@@ -75,7 +75,7 @@
     this->loop.poll();
   }
 
-  /// Connects a caller that sends a request, and keeps the loop busy meanwhile.
+  /// Connects a caller, sends its request, and then keeps the loop busy.
   base::Instant SendWhileBusy(Tcp::acceptor& aAcceptor)
   {
     this->caller.connect(aAcceptor.local_endpoint());
