--- a/review/3/Case.cpp
+++ b/review/3/Case.cpp
@@ -1,4 +1,4 @@
-// A server's entry is removed between two cuts of the store's watches.
+// The entries of two servers are removed between two cuts of the store's watches.
 #include <Standin.h>
 
 using namespace review;
@@ -11,8 +11,8 @@
     Record& record = deployment.record;
     deployment.Configure(Deployment::Route("bookings", "/book/", "non_idempotent", "clerk"),
                          Deployment::Service("clerk"));
-    for (int number = 0; number < 3; ++number) {
-      deployment.AddServer("clerk", 300);
+    for (int number = 0; number < 5; ++number) {
+      deployment.AddServer("clerk", 30);
     }
     if (!deployment.StartInstances(3)) {
       record.Say("the instances did not get ready");
@@ -29,16 +29,21 @@
     };
     cutWatches();
     SleepMs(1000);
-    Server& leaving = *deployment.servers.front();
-    std::string id = leaving.Id();
-    int64_t removedAt = deployment.store.Remove("servers", id);
-    record.Say("store: acknowledged the removal of the entry of " + id);
+    // Two of five servers leave without reporting it.
+    Server& first = *deployment.servers[0];
+    Server& second = *deployment.servers[1];
+    deployment.store.Remove("servers", first.Id());
+    int64_t removedAt = deployment.store.Remove("servers", second.Id());
+    record.Say("store: acknowledged the removal of the entries of " + first.Id() + " and " +
+               second.Id());
     SleepUntilMs(removedAt + 1500);
     cutWatches();
     int64_t lastCutAt = NowMs();
-    // The server goes on for drain_ms and some seconds more.
+    // One goes on for drain_ms and a little longer, the other for some seconds more.
+    SleepUntilMs(removedAt + kDrainMs + 600);
+    first.Exit();
     SleepUntilMs(removedAt + kDrainMs + 4000);
-    leaving.Exit();
+    second.Exit();
     SleepMs(2000);
     clients.Stop();
 
@@ -48,27 +53,32 @@
     }
     int late = 0;
     int lateAfterWindow = 0;
+    int lost = 0;
     int64_t last = removedAt;
     std::set<std::string> instances;
-    for (const Server::Run& run : leaving.Runs()) {
-      const Clients::Sent& request = sent[run.request];
-      last = std::max(last, run.at);
-      if (request.at <= removedAt + kDrainMs) {
-        continue;
+    for (Server* server : { &first, &second }) {
+      for (const Server::Run& run : server->Runs()) {
+        const Clients::Sent& request = sent[run.request];
+        last = std::max(last, run.at);
+        if (request.at <= removedAt + kDrainMs) {
+          continue;
+        }
+        ++late;
+        lost += run.answered ? 0 : 1;
+        instances.insert(request.instance);
+        lateAfterWindow += request.at > lastCutAt + kStabilityMs ? 1 : 0;
+        record.Line("late: " + run.request + " sent at " + std::to_string(request.at) +
+                    ", run at " + std::to_string(run.at) + " by " + run.server +
+                    ", which is gone, answered " + std::to_string(request.status));
       }
-      ++late;
-      instances.insert(request.instance);
-      bool afterWindow = request.at > lastCutAt + kStabilityMs;
-      lateAfterWindow += afterWindow ? 1 : 0;
-      record.Line("late: " + run.request + " sent at " + std::to_string(request.at) +
-                  ", run at " + std::to_string(run.at) + " by the server that is gone, answered " +
-                  std::to_string(request.status));
     }
-    record.Say("requests sent: " + std::to_string(sent.size()) + "; the last one reached " + id +
-               " " + std::to_string(last - removedAt) + " ms after the acknowledgement");
-    record.Say("requests that clients sent over drain_ms after it and that " + id +
-               " ran: " + std::to_string(late) + " by " + std::to_string(instances.size()) +
-               " of 3 instances; of these sent over stability_window_ms after the last cut: " +
+    record.Say("requests sent: " + std::to_string(sent.size()) +
+               "; the last one reached a server that is gone " + std::to_string(last - removedAt) +
+               " ms after the acknowledgement");
+    record.Say("requests that clients sent over drain_ms after it and that these servers ran: " +
+               std::to_string(late) + " by " + std::to_string(instances.size()) +
+               " of 3 instances; bookings among them that were lost: " + std::to_string(lost) +
+               "; sent over stability_window_ms after the last cut: " +
                std::to_string(lateAfterWindow));
     // A cut of a watch counts as a reset of a connection here, so a machine is in touch again
     // stability_window_ms after it.
--- a/review/standin/Standin.h
+++ b/review/standin/Standin.h
@@ -47,6 +47,8 @@
 constexpr uint16_t kMetricsPort = 9464;
 constexpr uint16_t kStorePort = 8229;
 constexpr uint16_t kServerPort = 8080;
+/// Requests that a server runs at once.
+constexpr int kSlots = 3;
 
 inline bool
 WithTrouble()
@@ -640,7 +642,7 @@
       current,
       "{\"service\":\"" + this->options.service + "\",\"address\":\"" + this->options.ip + ":" +
         std::to_string(kServerPort) + "\",\"zone\":\"" + this->options.zone +
-        "\",\"version\":\"v1\",\"slots\":3,\"state\":\"" + aState +
+        "\",\"version\":\"v1\",\"slots\":" + std::to_string(kSlots) + ",\"state\":\"" + aState +
         "\",\"cold_remaining_ms\":0,\"seq\":4}");
   }
 
@@ -648,8 +650,7 @@
   void Exit()
   {
     this->options.record.Say("server " + this->Id() + " exits");
-    this->down = true;
-    this->listener->Close();
+    this->End();
   }
 
   std::vector<Run> Runs()
@@ -680,7 +681,12 @@
     }
     size_t index = 0;
     {
-      std::lock_guard guard(this->lock);
+      std::unique_lock guard(this->lock);
+      this->slotFree.wait(guard, [this] { return this->running < kSlots || this->down; });
+      if (this->down) {
+        return std::nullopt;
+      }
+      ++this->running;
       index = this->runs.size();
       this->runs.push_back({ request, current, NowMs() });
     }
@@ -688,13 +694,17 @@
                               aRequest.Method() + " " + path);
     if (!this->options.crashPath.empty() && path == this->options.crashPath) {
       this->Crash();
+      std::lock_guard guard(this->lock);
+      --this->running;
       return std::nullopt;
     }
     SleepMs(this->options.workMs);
+    std::lock_guard guard(this->lock);
+    --this->running;
+    this->slotFree.notify_one();
     if (this->down) {
       return std::nullopt;
     }
-    std::lock_guard guard(this->lock);
     this->runs[index].answered = true;
     std::string body = aRequest.Method() == "HEAD" ? "" : "result of " + request;
     return Answer("200 OK",
@@ -703,6 +713,16 @@
                   body);
   }
 
+  void End()
+  {
+    {
+      std::lock_guard guard(this->lock);
+      this->down = true;
+    }
+    this->slotFree.notify_all();
+    this->listener->Close();
+  }
+
   /// Ends the process and starts a new incarnation after some seconds.
   void Crash()
   {
@@ -715,7 +735,7 @@
     this->options.record.Line("server " + this->Id() + " crashes");
     this->restarter = std::thread([this] {
       std::string old = this->Id();
-      this->listener->Close();
+      this->End();
       SleepMs(this->options.restartAfterMs);
       {
         std::lock_guard guard(this->lock);
@@ -732,6 +752,8 @@
   std::mutex lock;
   std::string id;
   std::vector<Run> runs;
+  std::condition_variable slotFree;
+  int running = 0;
   std::atomic<bool> down = false;
   std::thread restarter;
   std::unique_ptr<HttpListener> listener;
