--- a/review/3/Case.cpp
+++ b/review/3/Case.cc
@@ -1,5 +1,5 @@
-// The entries of two servers are removed between two cuts of the store's watches.
-#include <Standin.h>
+// The entries of three servers are removed between two cuts of the store's watches.
+#include <Standin.hpp>
 
 using namespace review;
 
@@ -11,7 +11,7 @@
     Record& record = deployment.record;
     deployment.Configure(Deployment::Route("bookings", "/book/", "non_idempotent", "clerk"),
                          Deployment::Service("clerk"));
-    for (int number = 0; number < 5; ++number) {
+    for (int number = 0; number < 6; ++number) {
       deployment.AddServer("clerk", 30);
     }
     if (!deployment.StartInstances(3)) {
@@ -29,21 +29,26 @@
     };
     cutWatches();
     SleepMs(1000);
-    // Two of five servers leave without reporting it.
-    Server& first = *deployment.servers[0];
-    Server& second = *deployment.servers[1];
-    deployment.store.Remove("servers", first.Id());
-    int64_t removedAt = deployment.store.Remove("servers", second.Id());
-    record.Say("store: acknowledged the removal of the entries of " + first.Id() + " and " +
-               second.Id());
+    // Half of the servers leave without reporting it.
+    std::vector<Server*> leaving;
+    for (size_t number = 0; number < 3; ++number) {
+      leaving.push_back(deployment.servers[number].get());
+    }
+    int64_t removedAt = 0;
+    for (Server* server : leaving) {
+      removedAt = deployment.store.Remove("servers", server->Id());
+      record.Say("store: acknowledged the removal of the entry of " + server->Id());
+    }
     SleepUntilMs(removedAt + 1500);
     cutWatches();
     int64_t lastCutAt = NowMs();
-    // One goes on for drain_ms and a little longer, the other for some seconds more.
+    // One goes on for drain_ms and a little longer, the others for some seconds more.
     SleepUntilMs(removedAt + kDrainMs + 600);
-    first.Exit();
+    leaving.front()->Exit();
     SleepUntilMs(removedAt + kDrainMs + 4000);
-    second.Exit();
+    for (Server* server : leaving) {
+      server->Exit();
+    }
     SleepMs(2000);
     clients.Stop();
 
@@ -56,7 +61,7 @@
     int lost = 0;
     int64_t last = removedAt;
     std::set<std::string> instances;
-    for (Server* server : { &first, &second }) {
+    for (Server* server : leaving) {
       for (const Server::Run& run : server->Runs()) {
         const Clients::Sent& request = sent[run.request];
         last = std::max(last, run.at);
@@ -75,11 +80,11 @@
     record.Say("requests sent: " + std::to_string(sent.size()) +
                "; the last one reached a server that is gone " + std::to_string(last - removedAt) +
                " ms after the acknowledgement");
-    record.Say("requests that clients sent over drain_ms after it and that these servers ran: " +
-               std::to_string(late) + " by " + std::to_string(instances.size()) +
-               " of 3 instances; bookings among them that were lost: " + std::to_string(lost) +
-               "; sent over stability_window_ms after the last cut: " +
-               std::to_string(lateAfterWindow));
+    record.Say(
+      "requests that clients sent over drain_ms after it and that these servers ran: " +
+      std::to_string(late) + " by " + std::to_string(instances.size()) +
+      " of 3 instances; bookings among them that were lost: " + std::to_string(lost) +
+      "; sent over stability_window_ms after the last cut: " + std::to_string(lateAfterWindow));
     // A cut of a watch counts as a reset of a connection here, so a machine is in touch again
     // stability_window_ms after it.
     record.Say(lateAfterWindow > 0 ? "DRAIN broken" : "DRAIN held");
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,9 +3,9 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/[1-5]/Case.cpp; do
-  [ -e "$source" ] || continue
+flags="-std=c++20 -O1 -Wall -Wextra -pthread -I review/standin $(pkg-config --cflags jsoncpp)"
+for source in review/[1-5]/Case.cc; do
   number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -Wall -Wextra -pthread -I review/standin -I /usr/include/jsoncpp "$source" \
-    -o "target/review/case-$number" -ljsoncpp
+  # shellcheck disable=SC2086
+  g++ $flags "$source" -o "target/review/case-$number" $(pkg-config --libs jsoncpp)
 done
--- a/review/standin/Standin.h
+++ b/review/standin/Standin.hpp
@@ -435,8 +435,7 @@
     return "{\"meta\":{\"name\":\"" + aName +
            "\",\"revision\":" + std::to_string(aObject.revision) +
            ",\"created\":" + std::to_string(aObject.created) +
-           ",\"finalizers\":[],\"deleting\":false},\"spec\":" + aObject.spec +
-           ",\"status\":null}";
+           ",\"finalizers\":[],\"deleting\":false},\"spec\":" + aObject.spec + ",\"status\":null}";
   }
 
   void Change(const std::string& aKind, const std::string& aName, const std::string* aSpec)
@@ -456,11 +455,10 @@
       object.spec = *aSpec;
       kind[aName] = object;
     }
-    this->history.push_back(
-      { aKind,
-        object.revision,
-        std::string("{\"removed\":") + (aSpec == nullptr ? "true" : "false") +
-          ",\"object\":" + ToJson(aName, object) + "}" });
+    this->history.push_back({ aKind,
+                              object.revision,
+                              std::string("{\"removed\":") + (aSpec == nullptr ? "true" : "false") +
+                                ",\"object\":" + ToJson(aName, object) + "}" });
     this->changed.notify_all();
   }
 
@@ -544,10 +542,8 @@
     if (aRequest.Method() == "GET") {
       std::string watch = Parameter(target, "watch");
       if (!watch.empty()) {
-        return this->Watch(guard,
-                           kind,
-                           std::stoull(watch),
-                           std::atoll(Parameter(target, "wait_ms").c_str()));
+        return this->Watch(
+          guard, kind, std::stoull(watch), std::atoll(Parameter(target, "wait_ms").c_str()));
       }
       return this->List(kind, Parameter(target, "after"));
     }
@@ -612,11 +608,10 @@
   explicit Server(Options aOptions)
     : options(std::move(aOptions))
     , id(NewId())
-    , listener(std::make_unique<HttpListener>(this->options.ip,
-                                              kServerPort,
-                                              [this](const Message& aRequest) {
-                                                return this->Handle(aRequest);
-                                              }))
+    , listener(std::make_unique<HttpListener>(
+        this->options.ip,
+        kServerPort,
+        [this](const Message& aRequest) { return this->Handle(aRequest); }))
   {
     this->Register("ready");
   }
@@ -676,8 +671,7 @@
     }
     std::string wanted = aRequest.Header("sapphirewind-target-instance");
     if (!wanted.empty() && wanted != current) {
-      return Answer(
-        "421 Misdirected Request", "Sapphirewind-Instance-Id: " + current + "\r\n", "");
+      return Answer("421 Misdirected Request", "Sapphirewind-Instance-Id: " + current + "\r\n", "");
     }
     size_t index = 0;
     {
@@ -690,8 +684,8 @@
       index = this->runs.size();
       this->runs.push_back({ request, current, NowMs() });
     }
-    this->options.record.Line("server " + current + " runs " + request + " " +
-                              aRequest.Method() + " " + path);
+    this->options.record.Line("server " + current + " runs " + request + " " + aRequest.Method() +
+                              " " + path);
     if (!this->options.crashPath.empty() && path == this->options.crashPath) {
       this->Crash();
       std::lock_guard guard(this->lock);
@@ -708,8 +702,8 @@
     this->runs[index].answered = true;
     std::string body = aRequest.Method() == "HEAD" ? "" : "result of " + request;
     return Answer("200 OK",
-                  "Sapphirewind-Request-Id: " + request +
-                    "\r\nSapphirewind-Server-Stamp: stamp-" + request + "\r\n",
+                  "Sapphirewind-Request-Id: " + request + "\r\nSapphirewind-Server-Stamp: stamp-" +
+                    request + "\r\n",
                   body);
   }
 
@@ -940,6 +934,7 @@
 constexpr int64_t kDrainMs = 4000;
 constexpr int64_t kGraceMs = 6000;
 constexpr int64_t kStabilityMs = 5000;
+constexpr int64_t kConfigApplyMs = 4000;
 
 /// A small deployment: the store, servers of one service and instances.
 class Deployment
@@ -970,13 +965,12 @@
   /// Writes the first configuration: one route on one service.
   void Configure(const std::string& aRoutes, const std::string& aServices, int aVersion = 7)
   {
-    this->store.Put(
-      "config",
-      "main",
-      "{\"version\":" + std::to_string(aVersion) + ",\"routes\":[" + aRoutes +
-        "],\"services\":[" + aServices +
-        "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
-        "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
+    this->store.Put("config",
+                    "main",
+                    "{\"version\":" + std::to_string(aVersion) + ",\"routes\":[" + aRoutes +
+                      "],\"services\":[" + aServices +
+                      "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
+                      "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
     this->record.Say("store: configuration " + std::to_string(aVersion));
   }
 
