--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-flags="-std=c++20 -O1 -Wall -Wextra -pthread -I review/standin $(pkg-config --cflags jsoncpp)"
+flags="-std=c++20 -O1 -Wall -Wextra -pthread -I review $(pkg-config --cflags jsoncpp)"
 for source in review/[1-5]/Case.cc; do
   number=$(basename "$(dirname "$source")")
   # shellcheck disable=SC2086
