Log which removed servers stay in use around an outage of the store, and when they expire

The log had the removal (E0401), yet not what the table made of it, so it could not tell 'read late', 'kept as lapsed' and 'kept again and again' apart. E0408 and E0409 do. RemoveExpired returns the ids for that; its test compares them and checks as much as before.

--- a/libs/directory/include/directory/ServerTable.h
+++ b/libs/directory/include/directory/ServerTable.h
@@ -83,8 +83,8 @@
 void
 OnStoreRecovered(ServerTable& aTable, base::Instant aNow);
 
-/// Drops entries whose grace period is over; returns whether there were any.
-bool
+/// Drops entries whose grace period is over; returns the ids of their servers.
+std::vector<std::string>
 RemoveExpired(ServerTable& aTable, base::Instant aNow);
 
 } // namespace sapphirewind::directory
--- a/libs/directory/src/ServerTable.cpp
+++ b/libs/directory/src/ServerTable.cpp
@@ -96,18 +96,18 @@
   }
 }
 
-bool
+std::vector<std::string>
 RemoveExpired(ServerTable& aTable, base::Instant aNow)
 {
+  std::vector<std::string> expired;
   if (aTable.storeUnavailable) {
-    return false;
+    return expired;
   }
-  bool expired = false;
   for (auto entry = aTable.entries.begin(); entry != aTable.entries.end();) {
     auto current = entry++;
     if (current->second.expiresAt && *current->second.expiresAt <= aNow) {
+      expired.push_back(current->first);
       aTable.entries.erase(current);
-      expired = true;
     }
   }
   return expired;
--- a/libs/directory/test/ServerTableTest.cpp
+++ b/libs/directory/test/ServerTableTest.cpp
@@ -63,9 +63,10 @@
   OnStoreUnavailable(table);
   OnStoreRecovered(table, kStart);
   BOOST_TEST(!Remove(table, "a", 6, kStart + 100ms));
-  BOOST_TEST(!RemoveExpired(table, kStart + kReregistrationGrace - 1ms));
+  BOOST_TEST(RemoveExpired(table, kStart + kReregistrationGrace - 1ms).empty());
   BOOST_TEST(table.entries.count("a") == 1U);
-  BOOST_TEST(RemoveExpired(table, kStart + kReregistrationGrace));
+  BOOST_TEST(RemoveExpired(table, kStart + kReregistrationGrace) ==
+             std::vector<std::string>{ "a" });
   BOOST_TEST(table.entries.empty());
 }
 
@@ -76,8 +77,9 @@
   OnStoreUnavailable(table);
   Remove(table, "a", 6, kStart - 10s);
   OnStoreRecovered(table, kStart);
-  BOOST_TEST(!RemoveExpired(table, kStart + kReregistrationGrace - 1ms));
-  BOOST_TEST(RemoveExpired(table, kStart + kReregistrationGrace));
+  BOOST_TEST(RemoveExpired(table, kStart + kReregistrationGrace - 1ms).empty());
+  BOOST_TEST(RemoveExpired(table, kStart + kReregistrationGrace) ==
+             std::vector<std::string>{ "a" });
 }
 
 BOOST_AUTO_TEST_CASE(keeps_an_entry_that_was_registered_again_in_time)
@@ -88,7 +90,7 @@
   OnStoreRecovered(table, kStart);
   Remove(table, "a", 6, kStart);
   Upsert(table, MakeServer("a"), 7);
-  BOOST_TEST(!RemoveExpired(table, kStart + 10s));
+  BOOST_TEST(RemoveExpired(table, kStart + 10s).empty());
   BOOST_TEST(table.entries.count("a") == 1U);
 }
 
--- a/libs/engine/src/ClusterState.cpp
+++ b/libs/engine/src/ClusterState.cpp
@@ -219,6 +219,20 @@
   this->UpdateUpstreams();
 }
 
+void
+ClusterState::LogKeptEntry(const std::string& aId, base::Instant aNow) const
+{
+  auto entry = this->servers.entries.find(aId);
+  if (entry == this->servers.entries.end() || !entry->second.expiresAt) {
+    return;
+  }
+  telemetry::Log(telemetry::Event::ServerEntryKept,
+                 { { "server", aId },
+                   { "for_ms", base::ToMillis(*entry->second.expiresAt - aNow) },
+                   { "store_lost", this->servers.storeUnavailable },
+                   { "store_back_ms", base::ToMillis(aNow - this->servers.storeRecoveredAt) } });
+}
+
 void
 ClusterState::OnServerChanges(const std::vector<StoredObject>& aObjects)
 {
@@ -238,6 +252,7 @@
                      { { "server", object.name },
                        { "revision", object.revision },
                        { "why", object.removed ? "entry removed" : "server is draining" } });
+      this->LogKeptEntry(object.name, now);
     }
   }
   this->UpdateUpstreams();
@@ -246,10 +261,13 @@
 void
 ClusterState::RunMaintenance(base::Instant aNow)
 {
-  bool expired = directory::RemoveExpired(this->servers, aNow);
+  std::vector<std::string> expired = directory::RemoveExpired(this->servers, aNow);
+  for (const std::string& id : expired) {
+    telemetry::Log(telemetry::Event::ServerEntryExpired, { { "server", id } });
+  }
   bool startupEnds = !this->startupOver && aNow >= this->startedAt + dispatch::kReducedSharePeriod;
   this->startupOver = this->startupOver || startupEnds;
-  if (expired || startupEnds) {
+  if (!expired.empty() || startupEnds) {
     this->UpdateUpstreams();
   }
 }
--- a/libs/engine/src/ClusterState.h
+++ b/libs/engine/src/ClusterState.h
@@ -63,6 +63,8 @@
   void PutInForce(StoredObject&& aObject);
   void OnServerList(const std::vector<StoredObject>& aObjects, uint64_t aRevision);
   void OnServerChanges(const std::vector<StoredObject>& aObjects);
+  /// Logs that a server whose entry was removed stays in the table for now, if it does.
+  void LogKeptEntry(const std::string& aId, base::Instant aNow) const;
   void OnLost(StoreKind aKind, const char* aCause);
   void OnRecovered(StoreKind aKind);
   void OnChangesBody(StoreKind aKind,
--- a/libs/telemetry/include/telemetry/Events.h
+++ b/libs/telemetry/include/telemetry/Events.h
@@ -57,6 +57,8 @@
   ServerTakenIn = 405,
   ServerLimited = 406,
   ServerLimitEnded = 407,
+  ServerEntryKept = 408,
+  ServerEntryExpired = 409,
   RequestSuspect = 410,
   RequestCondemned = 411,
   RequestCleared = 412,
--- a/libs/telemetry/src/Events.cpp
+++ b/libs/telemetry/src/Events.cpp
@@ -41,6 +41,8 @@
     { Event::ServerTakenIn, Level::Info, "ServerTakenIn" },
     { Event::ServerLimited, Level::Info, "ServerLimited" },
     { Event::ServerLimitEnded, Level::Info, "ServerLimitEnded" },
+    { Event::ServerEntryKept, Level::Info, "ServerEntryKept" },
+    { Event::ServerEntryExpired, Level::Info, "ServerEntryExpired" },
     { Event::RequestSuspect, Level::Warning, "RequestSuspect" },
     { Event::RequestCondemned, Level::Error, "RequestCondemned" },
     { Event::RequestCleared, Level::Info, "RequestCleared" },
