Take the store as unavailable only if the call after a failed one fails too

Cause: StoreFollower took one watch that was cut off for an outage of the store, which lasted until the next watch ended its wait of 3 s, as nothing shows in a watch that waits. A removal read in an outage, or within 2 s of its end, keeps the server in use, as its entry may have lapsed. A follower also took three mirrors that failed within 30 ms for an outage, and a mirror sent away those that read from it, so one cut watch reached all instances of a region. Why this works: the watch after a failure asks for an answer at once; only if that fails too, on a new connection, is the store unavailable (directory/StoreAvailability, a pure function). Mirrors count only if no source answers for 2 s. Ruled out: that the removal is read late (it is read 0 to 500 ms after it), and that a mirror relays it late (three instances have none).

Tests that failed before: a_store_that_cuts_off_its_watches/* (one instance, and seven of which two mirror the store): both ran into the limit of 30 s. the_availability_of_the_store/* tests the new function.

--- a/fakes/include/fakes/ObjectStore.h
+++ b/fakes/include/fakes/ObjectStore.h
@@ -31,6 +31,8 @@
   void SetMode(Mode aMode);
   /// Drops the event history; watches from an earlier revision get 410 Gone.
   void CompactHistory();
+  /// Resets the connections of all pending watches, as a load balancer in front of the store may.
+  void CutWatches();
   /// Sets the maximum number of objects on a page of a list.
   void SetPageSize(size_t aObjects);
 
@@ -62,6 +64,8 @@
   HttpReply Write(const engine::HttpRequest& aRequest, const std::string& aPath);
   void ApplyChange(const std::string& aKind, const std::string& aName, const Json::Value* aSpec);
   HttpReply ChangesSince(const std::string& aKind, uint64_t aRevision) const;
+  /// Replies to all pending watches. The caller holds the lock.
+  void EndWatches(const HttpReply& aReply);
   void NotifyWatchers(const std::string& aKind);
 
   LoopThread& loop;
--- a/fakes/src/ObjectStore.cpp
+++ b/fakes/src/ObjectStore.cpp
@@ -70,14 +70,31 @@
     std::lock_guard guard(this->lock);
     this->oldestRevision = ++this->revision;
     this->history.clear();
-    for (auto& [id, watcher] : this->watchers) {
-      watcher.timer->cancel();
-      watcher.respond(JsonReply(http::status::gone));
-    }
-    this->watchers.clear();
+    this->EndWatches(JsonReply(http::status::gone));
   });
 }
 
+void
+ObjectStore::CutWatches()
+{
+  this->loop.Run([&] {
+    std::lock_guard guard(this->lock);
+    HttpReply reset;
+    reset.delivery = HttpReply::Delivery::Reset;
+    this->EndWatches(reset);
+  });
+}
+
+void
+ObjectStore::EndWatches(const HttpReply& aReply)
+{
+  for (auto& [id, watcher] : this->watchers) {
+    watcher.timer->cancel();
+    watcher.respond(aReply);
+  }
+  this->watchers.clear();
+}
+
 void
 ObjectStore::SetPageSize(size_t aObjects)
 {
--- a/libs/engine/include/engine/StoreFollower.h
+++ b/libs/engine/include/engine/StoreFollower.h
@@ -5,11 +5,13 @@
 /// the watch starts at the oldest page's revision and so returns whatever the list lacks.
 ///
 /// The store answers each watch within the watch's short wait even if nothing changed, so a missing
-/// answer means an unresponsive connection.
+/// answer means an unresponsive connection. Whether the store itself is unavailable is then decided
+/// by calls that do not wait (directory/StoreAvailability.h).
 #pragma once
 
 #include <base/Random.h>
 #include <directory/MirrorTree.h>
+#include <directory/StoreAvailability.h>
 #include <engine/OneShotTimer.h>
 #include <engine/StoreConnection.h>
 #include <engine/StoreMirror.h>
@@ -103,7 +105,6 @@
   void OnChanges(const std::shared_ptr<const RelayedBody>& aBody, base::Instant aAnsweredAt);
   void Fail(const char* aCause, directory::MirrorFailure aFailure);
   void Succeed();
-  void MarkLost(const char* aCause);
   SourceUse NextUse() const;
   base::Duration Backoff();
   base::Duration Jittered(base::Duration aDelay);
@@ -118,9 +119,9 @@
   bool listing = true;
   bool hasListed = false;
   bool awaitsSource = false;
-  bool lost = false;
   bool stopped = false;
   unsigned consecutiveFailures = 0;
+  directory::StoreAvailability availability;
   std::string listAfter;
   std::vector<StoredObject> listed;
   uint64_t listRevision = 0;
--- a/libs/engine/src/StoreFollower.cpp
+++ b/libs/engine/src/StoreFollower.cpp
@@ -14,8 +14,9 @@
 /// Timeout of a call in addition to its wait; the store answers in milliseconds, and within a few
 /// hundred when it is slow.
 constexpr base::Duration kCallTimeout = std::chrono::milliseconds(800);
-/// After this many failures in a row, mirrors among them, the store counts as lost.
-constexpr unsigned kMirrorFailureLimit = 3;
+/// Wait of the watch after a failed call: answered at once, and never waiting when watches are cut
+/// off.
+constexpr base::Duration kPromptWait = std::chrono::milliseconds(1);
 /// Delay before the next call after a mirror failed, which goes to another source.
 constexpr base::Duration kSourceSwitchDelay = std::chrono::milliseconds(10);
 /// Delay between watches of the store after a change, so that changes in quick succession are read
@@ -167,9 +168,10 @@
     call.target = this->options.codec.listTarget(this->options.kind, this->listAfter, age);
     call.kind = Counter::StoreList;
   } else {
-    call.target =
-      this->options.codec.watchTarget(this->options.kind, this->revision, this->source.watchWait);
-    call.timeout += this->source.watchWait;
+    base::Duration wait =
+      directory::NeedsPromptAnswer(this->availability) ? kPromptWait : this->source.watchWait;
+    call.target = this->options.codec.watchTarget(this->options.kind, this->revision, wait);
+    call.timeout += wait;
     call.kind = Counter::StoreWatch;
   }
   this->connection->Make(std::move(call), [self = this->shared_from_this()](StoreAnswer&& aAnswer) {
@@ -289,8 +291,10 @@
   this->RestartList();
   this->options.onSourceFailed(this->source, aFailure);
   ++this->consecutiveFailures;
-  if (!this->source.isMirror || this->consecutiveFailures >= kMirrorFailureLimit) {
-    this->MarkLost(aCause);
+  directory::CallTarget target =
+    this->source.isMirror ? directory::CallTarget::Mirror : directory::CallTarget::Store;
+  if (directory::OnCallFailed(this->availability, target, base::Now())) {
+    this->options.onLost(aCause);
   }
   if (this->source.isMirror) {
     this->ScheduleCall(kSourceSwitchDelay);
@@ -299,15 +303,6 @@
   this->ScheduleCall(this->Backoff());
 }
 
-void
-StoreFollower::MarkLost(const char* aCause)
-{
-  if (!this->lost) {
-    this->lost = true;
-    this->options.onLost(aCause);
-  }
-}
-
 base::Duration
 StoreFollower::Backoff()
 {
@@ -327,8 +322,7 @@
 {
   this->consecutiveFailures = 0;
   this->options.onSourceAnswered(this->source);
-  if (this->lost) {
-    this->lost = false;
+  if (directory::OnCallAnswered(this->availability)) {
     this->options.onRecovered();
   }
 }
