Grant a removed server one grace period, however many outages of the store follow

A server whose entry was removed around an outage stayed in use for 2 s after the end of each outage that followed, so outages less than 2 s apart kept it in use for good. Cause: OnStoreRecovered set the end of every pending grace period anew, and a removal that was read again did too. Why this works: the grace period stands still while the store is unavailable and goes on afterwards, so it amounts to 2 s with an available store in all. An outage counts from its first report.

--- a/libs/directory/include/directory/ServerTable.h
+++ b/libs/directory/include/directory/ServerTable.h
@@ -2,7 +2,8 @@
 /// removed in the platform's store.
 ///
 /// Entries also expire during an outage of the store, although their upstreams are alive. Such an
-/// entry is kept after the store's recovery until the upstreams had time to register again.
+/// entry is kept after the store's recovery until the upstreams had time to register again. That
+/// time is granted once: a later outage interrupts it and does not start it anew.
 #pragma once
 
 #include <base/Time.h>
@@ -32,8 +33,8 @@
   auto operator<=>(const Server&) const = default;
 };
 
-/// Time after the store's recovery within which an upstream must register again to stay in the
-/// table. The platform promises about two seconds.
+/// Time with an available store within which an upstream must register again to stay in the table.
+/// The platform promises about two seconds from the store's recovery.
 constexpr base::Duration kReregistrationGrace = std::chrono::milliseconds(2000);
 
 /// The known upstreams. Plain data that the functions below operate on.
@@ -43,13 +44,16 @@
   {
     Server server;
     uint64_t revision = 0;
-    /// Set if the entry was removed from the store around an outage: when to drop it.
+    /// Set if the entry was removed from the store around an outage: when to drop it. Moves by the
+    /// time for which the store is unavailable meanwhile.
     std::optional<base::Instant> expiresAt;
   };
 
   std::map<std::string, Entry> entries;
-  bool storeUnavailable = false;
-  base::Instant storeRecoveredAt{};
+  /// Since when the store is unavailable; empty while it is available.
+  std::optional<base::Instant> unavailableSince;
+  /// When the last outage ended; empty before the first.
+  std::optional<base::Instant> recoveredAt;
 };
 
 /// Inserts or updates an entry; returns whether the server's data changed. Older revisions are
@@ -77,9 +81,11 @@
            uint64_t aRevision,
            base::Instant aNow);
 
+/// Starts an outage of the store, unless one is in progress.
 void
-OnStoreUnavailable(ServerTable& aTable);
+OnStoreUnavailable(ServerTable& aTable, base::Instant aNow);
 
+/// Ends the outage in progress, if there is one.
 void
 OnStoreRecovered(ServerTable& aTable, base::Instant aNow);
 
--- a/libs/directory/src/ServerTable.cpp
+++ b/libs/directory/src/ServerTable.cpp
@@ -1,15 +1,22 @@
 #include <directory/ServerTable.h>
 
+#include <algorithm>
 #include <set>
 
 namespace sapphirewind::directory {
 
 namespace {
 
-bool
-IsNearOutage(const ServerTable& aTable, base::Instant aNow)
+/// The time from which an entry that is removed now may register again; empty if no outage explains
+/// the removal.
+std::optional<base::Instant>
+ReregistrationStart(const ServerTable& aTable, base::Instant aNow)
 {
-  return aTable.storeUnavailable || aNow < aTable.storeRecoveredAt + kReregistrationGrace;
+  if (aTable.unavailableSince) {
+    return aNow;
+  }
+  bool recentlyRecovered = aTable.recoveredAt && aNow < *aTable.recoveredAt + kReregistrationGrace;
+  return recentlyRecovered ? aTable.recoveredAt : std::nullopt;
 }
 
 /// Sets the expiry of an entry around an outage, erases it otherwise; returns whether it was
@@ -19,14 +26,17 @@
               std::map<std::string, ServerTable::Entry>::iterator aEntry,
               base::Instant aNow)
 {
-  bool mayReregister = IsNearOutage(aTable, aNow) && !aEntry->second.server.draining;
-  if (mayReregister) {
-    base::Instant from = aTable.storeUnavailable ? aNow : aTable.storeRecoveredAt;
-    aEntry->second.expiresAt = from + kReregistrationGrace;
-    return false;
+  ServerTable::Entry& entry = aEntry->second;
+  std::optional<base::Instant> start = ReregistrationStart(aTable, aNow);
+  bool mayReregister = !entry.server.draining && (start || entry.expiresAt);
+  if (!mayReregister) {
+    aTable.entries.erase(aEntry);
+    return true;
   }
-  aTable.entries.erase(aEntry);
-  return true;
+  if (!entry.expiresAt) {
+    entry.expiresAt = *start + kReregistrationGrace;
+  }
+  return false;
 }
 
 } // namespace
@@ -76,31 +86,34 @@
 }
 
 void
-OnStoreUnavailable(ServerTable& aTable)
+OnStoreUnavailable(ServerTable& aTable, base::Instant aNow)
 {
-  aTable.storeUnavailable = true;
+  if (!aTable.unavailableSince) {
+    aTable.unavailableSince = aNow;
+  }
 }
 
 void
 OnStoreRecovered(ServerTable& aTable, base::Instant aNow)
 {
-  if (!aTable.storeUnavailable) {
+  if (!aTable.unavailableSince) {
     return;
   }
-  aTable.storeUnavailable = false;
-  aTable.storeRecoveredAt = aNow;
   for (auto& [id, entry] : aTable.entries) {
     if (entry.expiresAt) {
-      entry.expiresAt = aNow + kReregistrationGrace;
+      base::Instant startedAt = *entry.expiresAt - kReregistrationGrace;
+      *entry.expiresAt += aNow - std::max(startedAt, *aTable.unavailableSince);
     }
   }
+  aTable.unavailableSince.reset();
+  aTable.recoveredAt = aNow;
 }
 
 std::vector<std::string>
 RemoveExpired(ServerTable& aTable, base::Instant aNow)
 {
   std::vector<std::string> expired;
-  if (aTable.storeUnavailable) {
+  if (aTable.unavailableSince) {
     return expired;
   }
   for (auto entry = aTable.entries.begin(); entry != aTable.entries.end();) {
--- a/libs/engine/src/ClusterState.cpp
+++ b/libs/engine/src/ClusterState.cpp
@@ -127,7 +127,7 @@
   this->mirror.RejectWaiting(aKind);
   telemetry::Log(telemetry::Event::StoreLost, { { "follows", NameOf(aKind) }, { "why", aCause } });
   if (aKind == StoreKind::Servers) {
-    directory::OnStoreUnavailable(this->servers);
+    directory::OnStoreUnavailable(this->servers, base::Now());
   }
 }
 
@@ -226,11 +226,11 @@
   if (entry == this->servers.entries.end() || !entry->second.expiresAt) {
     return;
   }
-  telemetry::Log(telemetry::Event::ServerEntryKept,
-                 { { "server", aId },
-                   { "for_ms", base::ToMillis(*entry->second.expiresAt - aNow) },
-                   { "store_lost", this->servers.storeUnavailable },
-                   { "store_back_ms", base::ToMillis(aNow - this->servers.storeRecoveredAt) } });
+  telemetry::Log(
+    telemetry::Event::ServerEntryKept,
+    { { "server", aId },
+      { "for_ms", base::ToMillis(*entry->second.expiresAt - aNow) },
+      { "store_back_ms", base::ToMillis(aNow - this->servers.recoveredAt.value_or(aNow)) } });
 }
 
 void
@@ -304,7 +304,7 @@
   }
   const StoreSource& source = this->serverFollower->Source();
   aStatus.follows = source.isMirror ? FormatEndpoint(source.endpoint) : "store";
-  aStatus.storeLost = this->servers.storeUnavailable;
+  aStatus.storeLost = this->servers.unavailableSince.has_value();
   aStatus.instances = this->instances;
 }
 
