Let the soak cut off the store's watches beside its other faults

A quarter of the steps do so, drawn from a separate sequence: the faults of a known seed stay what they were.

--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -15,6 +15,7 @@
 FaultInjector::FaultInjector(ProcessCluster& aCluster, uint64_t aSeed)
   : cluster(aCluster)
   , random(aSeed)
+  , overlapRandom(base::Hash64("overlap", aSeed))
 {
 }
 
@@ -49,6 +50,12 @@
   }
   std::erase_if(this->recoveries,
                 [&](const ScheduledRecovery& aRecovery) { return aRecovery.at <= aNow; });
+  return this->InjectNextFault(aNow) + this->InjectOverlappingFault();
+}
+
+std::string
+FaultInjector::InjectNextFault(base::Instant aNow)
+{
   switch (base::UniformIndex(this->random, 6)) {
     case 0:
       return this->InjectProcessFault(aNow);
@@ -64,6 +71,17 @@
   }
 }
 
+std::string
+FaultInjector::InjectOverlappingFault()
+{
+  constexpr size_t kStepsPerCut = 4;
+  if (base::UniformIndex(this->overlapRandom, kStepsPerCut) > 0) {
+    return "";
+  }
+  this->cluster.store.CutWatches();
+  return ", and store cuts off its watches";
+}
+
 std::string
 FaultInjector::InjectProcessFault(base::Instant aNow)
 {
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -23,11 +23,14 @@
     std::function<void()> recover;
   };
 
+  std::string InjectNextFault(base::Instant aNow);
   std::string InjectProcessFault(base::Instant aNow);
   std::string InjectStoreFault(base::Instant aNow);
   std::string InjectNetworkFault(base::Instant aNow);
   std::string InjectServerFault(base::Instant aNow);
   std::string RunOperatorAction(base::Instant aNow);
+  /// Injects a short fault beside the one of this step, in some steps; empty otherwise.
+  std::string InjectOverlappingFault();
   /// Schedules the end of a fault after a random delay of up to kMaxFaultDuration.
   void ScheduleRecovery(base::Instant aNow, std::function<void()> aRecover);
   InstanceProcess& RandomInstance();
@@ -35,6 +38,8 @@
 
   ProcessCluster& cluster;
   base::Random random;
+  /// Drawn from separately, so that new faults leave the sequence of a known seed as it was.
+  base::Random overlapRandom;
   std::vector<ScheduledRecovery> recoveries;
 };
 
