Heed a server that says in its answers that it leaves

Change: the header is decoded once in platform/, on every answer. dispatch/LeavingServers remembers it by the start of the server, apart from the store's entries; dispatch/Restriction decides in one place, for first attempts, retries and hedges, whether a server may be used and why not: last resort for 'drain', nothing after. A service whose servers have all left rejects at once; a query counts the part as missing. E0431 names each avoided server with the reason and its age, in place of three counts. A value that cannot be read is logged (E0414) and changes nothing.

Not measured yet: processor time, and work lost at the exit with and without telling other instances.

--- a/fakes/include/fakes/SearchServer.h
+++ b/fakes/include/fakes/SearchServer.h
@@ -24,6 +24,8 @@
   double failProbability = 0.0;        ///< Runs the request and answers 500.
   /// The requests a second that the server says it accepts from all instances together.
   std::optional<double> requestRate;
+  /// The value of the header that says that the server leaves, in all its answers; empty for none.
+  std::string leaving;
   bool unresponsive = false; ///< Accepts requests and never answers.
   /// Maps the bytes of each answer to the bytes that are sent in place of it.
   std::function<std::string(const std::string&)> mutateAnswer;
@@ -54,6 +56,8 @@
 
   void SetBehaviour(const ServerBehaviour& aBehaviour);
   void SetDown(bool aDown);
+  /// Starts the process anew, under the same id and address; Register makes it known.
+  void Restart();
 
   /// Writes this server's entry to the store. An address overrides the server's own, for example
   /// that of a relay.
@@ -73,7 +77,10 @@
   static std::string RecordsOf(const std::string& aService, const std::string& aTarget);
 
 private:
+  int64_t Born() const;
   void Handle(const engine::HttpRequest& aRequest, const HttpServer::Respond& aRespond);
+  /// Sets the headers that each answer of this server has.
+  void SetCommonHeaders(engine::HttpResponse& aResponse, const std::string& aId) const;
   HttpReply Run(const engine::HttpRequest& aRequest, const std::string& aId);
   bool HappensWithProbability(double aProbability);
   bool CrashesOn(const engine::HttpRequest& aRequest) const;
@@ -86,6 +93,8 @@
   std::map<std::string, int> abandoned;
   size_t arrivals = 0;
   int crashes = 0;
+  /// When the process started, in Unix milliseconds; only differences matter.
+  int64_t born = 1;
   HttpServer server;
 };
 
--- a/fakes/src/SearchServer.cpp
+++ b/fakes/src/SearchServer.cpp
@@ -65,6 +65,21 @@
   this->options.loop.Run([&] { this->server.SetDown(aDown); });
 }
 
+void
+SearchServer::Restart()
+{
+  std::lock_guard guard(this->lock);
+  ++this->born;
+  this->behaviour = {};
+}
+
+int64_t
+SearchServer::Born() const
+{
+  std::lock_guard guard(this->lock);
+  return this->born;
+}
+
 void
 SearchServer::Register(ObjectStore& aStore,
                        const std::string& aState,
@@ -79,7 +94,7 @@
   entry["state"] = aState;
   entry["cold_remaining_ms"] = 0;
   entry["seq"] = 1;
-  entry["born"] = Json::Int64(1);
+  entry["born"] = Json::Int64(this->Born());
   aStore.Put("servers", this->options.id, entry);
 }
 
@@ -132,7 +147,7 @@
   HttpReply reply;
   reply.response.version(11);
   std::string id(aRequest[kRequestId]);
-  reply.response.set(kRequestId, id);
+  this->SetCommonHeaders(reply.response, id);
   bool addressedHere = aRequest["Sapphirewind-Target-Instance"] == this->options.id;
   if (!addressedHere || this->HappensWithProbability(this->behaviour.shedProbability)) {
     reply.response.result(addressedHere ? http::status::service_unavailable
@@ -150,6 +165,15 @@
   aRespond(this->Run(aRequest, id));
 }
 
+void
+SearchServer::SetCommonHeaders(engine::HttpResponse& aResponse, const std::string& aId) const
+{
+  aResponse.set(kRequestId, aId);
+  if (!this->behaviour.leaving.empty()) {
+    aResponse.set("Server-Leaving", this->behaviour.leaving);
+  }
+}
+
 HttpReply
 SearchServer::Run(const engine::HttpRequest& aRequest, const std::string& aId)
 {
@@ -158,7 +182,7 @@
   reply.delay = this->behaviour.serviceTime;
   reply.response.version(11);
   reply.response.result(http::status::ok);
-  reply.response.set(kRequestId, aId);
+  this->SetCommonHeaders(reply.response, aId);
   reply.response.set("Sapphirewind-Server-Stamp",
                      this->options.service + "." + this->options.id + "." + aId + "." +
                        std::to_string(run));
--- a/libs/dispatch/include/dispatch/Upstream.h
+++ b/libs/dispatch/include/dispatch/Upstream.h
@@ -9,6 +9,7 @@
 #include <base/Random.h>
 #include <base/Time.h>
 #include <cstdint>
+#include <dispatch/LeavingServers.h>
 #include <dispatch/RateLimit.h>
 #include <map>
 #include <optional>
@@ -44,7 +45,11 @@
   unsigned slots = 1;
   /// Maximum number of connections from this instance to the server.
   unsigned maxInFlight = 1;
+  /// Set when the store's entry is draining or gone, or the address has another owner.
   bool draining = false;
+  base::Instant drainingSince{};
+  /// Set once the server said in an answer that it leaves.
+  std::optional<Leaving> leaving;
   /// Identifies the server among those that limit their request rate.
   uint64_t permitSeed = 0;
   /// This instance's part of the requests that the server accepts while it limits their rate.
@@ -109,16 +114,12 @@
                 const ServiceTimeEstimate& aServiceTime,
                 base::Instant aNow);
 
-/// Whether a request may be sent: the server is not draining, and this instance is below its parts
-/// of the server's connections and request rate. Precondition: its permits are issued up to now.
-bool
-HasCapacity(const Upstream& aUpstream);
-
 bool
 IsEjected(const Upstream& aUpstream, base::Instant aNow);
 
 /// Selects the server with the lowest expected cost among those that have capacity and are not in
-/// aExcluded. Ejected servers are selected only when there is no other. Empty when there is none.
+/// aExcluded. Ejected servers are selected only when there is no other, and leaving ones only if
+/// there is no ejected one either. Empty when there is none.
 std::optional<size_t>
 ChooseUpstream(std::span<const Upstream* const> aUpstreams,
                const std::vector<size_t>& aExcluded,
@@ -175,11 +176,6 @@
 void
 IssuePermits(Upstream& aUpstream, base::Instant aNow);
 
-/// Whether this instance may have capacity at the server before a time. False only if the server
-/// limits its request rate and the next permit comes later. Precondition: as for HasCapacity.
-bool
-MayHaveCapacity(const Upstream& aUpstream, base::Instant aBefore);
-
 void
 OnLoadReport(Upstream& aUpstream, const LoadReport& aReport, base::Instant aNow);
 
--- a/libs/dispatch/src/Upstream.cpp
+++ b/libs/dispatch/src/Upstream.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <dispatch/Restriction.h>
 
 namespace sapphirewind::dispatch {
 
@@ -151,13 +152,6 @@
   return aUpstream.roundTrip + service + LongestOverdue(aUpstream, aNow);
 }
 
-bool
-HasCapacity(const Upstream& aUpstream)
-{
-  return !aUpstream.draining && aUpstream.outstanding.size() < aUpstream.maxInFlight &&
-         (!aUpstream.rateLimit || HasPermit(*aUpstream.rateLimit));
-}
-
 bool
 IsEjected(const Upstream& aUpstream, base::Instant aNow)
 {
@@ -172,22 +166,22 @@
                base::Random& aRandom)
 {
   std::optional<size_t> best;
-  bool bestEjected = false;
+  Restriction bestRestriction = Restriction::None;
   double bestCost = 0.0;
   for (size_t index = 0; index < aUpstreams.size(); ++index) {
     const Upstream& upstream = *aUpstreams[index];
     bool isExcluded = std::find(aExcluded.begin(), aExcluded.end(), index) != aExcluded.end();
-    if (isExcluded || !HasCapacity(upstream)) {
+    Restriction restriction = RestrictionOf(upstream, aNow);
+    if (isExcluded || IsForbidden(restriction)) {
       continue;
     }
-    bool ejected = IsEjected(upstream, aNow);
     double jitter = 1.0 + kCostJitter * base::UniformUnit(aRandom);
     double cost = static_cast<double>(ExpectedCost(upstream, aServiceTime, aNow).count()) * jitter;
     bool isBetter =
-      !best || (bestEjected && !ejected) || (bestEjected == ejected && cost < bestCost);
+      !best || restriction < bestRestriction || (restriction == bestRestriction && cost < bestCost);
     if (isBetter) {
       best = index;
-      bestEjected = ejected;
+      bestRestriction = restriction;
       bestCost = cost;
     }
   }
@@ -312,13 +306,6 @@
   }
 }
 
-bool
-MayHaveCapacity(const Upstream& aUpstream, base::Instant aBefore)
-{
-  return !aUpstream.rateLimit || HasPermit(*aUpstream.rateLimit) ||
-         NextPermitAt(*aUpstream.rateLimit, aBefore).has_value();
-}
-
 void
 OnLoadReport(Upstream& aUpstream, const LoadReport& aReport, base::Instant aNow)
 {
--- a/libs/engine/include/engine/InstanceStatus.h
+++ b/libs/engine/include/engine/InstanceStatus.h
@@ -22,6 +22,7 @@
   std::string follows;
   size_t serversReady = 0;
   size_t serversDraining = 0;
+  size_t serversLeaving = 0;
   size_t serversEjected = 0;
   /// Of those in use, servers that limit their request rate.
   size_t serversLimited = 0;
--- a/libs/engine/include/engine/ServiceCall.h
+++ b/libs/engine/include/engine/ServiceCall.h
@@ -121,7 +121,7 @@
   bool IsExcluded(const UpstreamServer& aServer, base::Instant aNow) const;
   UpstreamRequest MakeRequest() const;
   void OnEnd(const std::shared_ptr<Attempt>& aAttempt, ExchangeResult&& aResult);
-  /// Adds the number of known servers and of those that are draining or at capacity.
+  /// Adds the number of known servers, and why and for how long some are avoided.
   void DescribeServers(Json::Value& aCall) const;
   void RecordStart(const std::shared_ptr<UpstreamServer>& aServer,
                    base::Duration aExpected,
--- a/libs/engine/include/engine/UpstreamConnection.h
+++ b/libs/engine/include/engine/UpstreamConnection.h
@@ -109,6 +109,8 @@
   size_t strayResponses = 0;
   size_t interimResponses = 0;
   uint64_t exchangeBytes = 0;
+  /// Whether a response on this connection, to whichever request, said that the server leaves.
+  bool serverLeaving = false;
   base::Instant idleSince{};
   base::Instant usableUntil{};
 };
--- a/libs/engine/include/engine/UpstreamPool.h
+++ b/libs/engine/include/engine/UpstreamPool.h
@@ -32,6 +32,8 @@
     double extraMinimum = 0.0;
     /// The window in which the platform counts them.
     base::Duration extraWindow = std::chrono::seconds(10);
+    /// How long a server that says that it leaves may still be sent requests.
+    base::Duration drain{ 0 };
   };
 
   using Servers = std::vector<std::shared_ptr<UpstreamServer>>;
@@ -50,6 +52,9 @@
   /// Changes the limits of retries and hedges.
   void SetExtraAttemptLimits(double aShare, double aMinimum);
 
+  /// Changes how long servers that say from now on that they leave may still be sent requests.
+  void SetDrain(base::Duration aDrain) { this->leavingServers->servingTime = aDrain; }
+
   const Servers& ServersOf(const std::string& aService) const;
 
   std::shared_ptr<dispatch::ServiceTimeEstimate> ServiceTimeOf(const std::string& aRoute);
@@ -62,7 +67,8 @@
 
   dispatch::SplitState& SplitOf(const std::string& aRoute);
 
-  void CloseExpired(base::Instant aNow);
+  /// Closes idle connections that expired and forgets servers that left.
+  void RunMaintenance(base::Instant aNow);
 
   /// Records that the source of the server table answered.
   void RecordSourceAnswer(base::Instant aNow) { this->lastSourceAnswer = aNow; }
@@ -73,6 +79,8 @@
   {
     size_t ready = 0;
     size_t draining = 0;
+    /// Servers that said in an answer that they leave, of those that are not draining.
+    size_t leaving = 0;
     size_t ejected = 0;
     /// Of those ready or ejected, servers that limit their request rate.
     size_t limited = 0;
@@ -86,6 +94,8 @@
 
 private:
   std::shared_ptr<UpstreamServer> Create(const directory::Server& aServer);
+  /// Records which starts of leaving servers the table names.
+  void RecordListed(const directory::ServerTable& aTable, base::Instant aNow);
   void SetShares(UpstreamServer& aServer,
                  const directory::Server& aDescription,
                  unsigned aConnectionLimit,
@@ -104,6 +114,8 @@
   /// This instance's part by the region of the server, of those that were asked for.
   std::map<std::string, dispatch::InstanceArc> arcs;
   std::map<std::string, std::shared_ptr<UpstreamServer>> byId;
+  std::shared_ptr<dispatch::LeavingServers> leavingServers =
+    std::make_shared<dispatch::LeavingServers>();
   std::unordered_map<std::string, Servers> byService;
   std::unordered_map<std::string, std::shared_ptr<dispatch::ServiceTimeEstimate>> serviceTimes;
   std::unordered_map<std::string, dispatch::AttemptBudget> budgets;
--- a/libs/engine/include/engine/Wire.h
+++ b/libs/engine/include/engine/Wire.h
@@ -41,6 +41,10 @@
   /// The requests a second that the server accepts from all instances together, while it is in
   /// need.
   std::optional<double> requestRate;
+  /// The server says that it leaves.
+  bool leaving = false;
+  /// Headers whose value cannot be read, as "name: value"; they change nothing.
+  std::vector<std::string> malformed;
 };
 
 /// The coverage of a response to a query.
--- a/libs/engine/src/Instance.cpp
+++ b/libs/engine/src/Instance.cpp
@@ -53,7 +53,8 @@
                                        .regions = this->settings.regions,
                                        .extraShare = this->settings.extraShare,
                                        .extraMinimum = this->settings.extraMinimum,
-                                       .extraWindow = this->settings.extraWindow })
+                                       .extraWindow = this->settings.extraWindow,
+                                       .drain = this->settings.drain })
     , crashGuard(CrashGuard::Options{
         .notifyPeers =
           [this](const std::string& aMessage) { this->clusterState.NotifyPeers(aMessage); } })
@@ -176,6 +177,7 @@
                            .serverTableAge = now - this->upstreams.LastSourceAnswer(),
                            .serversReady = servers.ready,
                            .serversDraining = servers.draining,
+                           .serversLeaving = servers.leaving,
                            .serversEjected = servers.ejected,
                            .serversLimited = servers.limited,
                            .lowestBudget = servers.lowestBudget,
@@ -241,6 +243,7 @@
                      { "needs_restart", needsRestart ? "yes" : "no" } });
     this->settings = next;
     this->upstreams.SetExtraAttemptLimits(next.extraShare, next.extraMinimum);
+    this->upstreams.SetDrain(next.drain);
     this->clusterState.SetWaits(next.watchWait, next.drain);
   }
 
@@ -259,7 +262,7 @@
         { { "lag_ms", base::ToMillis(aLag) }, { "sessions", this->ingress.Sessions() } });
     }
     this->clusterState.RunMaintenance(aNow);
-    this->upstreams.CloseExpired(aNow);
+    this->upstreams.RunMaintenance(aNow);
     this->crashGuard.RunMaintenance(aNow);
     if (aNow - this->settingsReadAt >= kSettingsPollInterval) {
       this->settingsReadAt = aNow;
--- a/libs/engine/src/InstanceStatus.cpp
+++ b/libs/engine/src/InstanceStatus.cpp
@@ -13,6 +13,7 @@
   root["configuration"]["age_ms"] = Json::Int64(base::ToMillis(aStatus.versionAge));
   root["servers"]["ready"] = Json::UInt64(aStatus.serversReady);
   root["servers"]["draining"] = Json::UInt64(aStatus.serversDraining);
+  root["servers"]["leaving"] = Json::UInt64(aStatus.serversLeaving);
   root["servers"]["ejected"] = Json::UInt64(aStatus.serversEjected);
   root["servers"]["limited"] = Json::UInt64(aStatus.serversLimited);
   root["servers"]["heard_ms"] = Json::Int64(base::ToMillis(aStatus.serverTableAge));
--- a/libs/engine/src/Metrics.cpp
+++ b/libs/engine/src/Metrics.cpp
@@ -119,6 +119,7 @@
   };
   servers("ready", aStatus.serversReady);
   servers("draining", aStatus.serversDraining);
+  servers("leaving", aStatus.serversLeaving);
   servers("ejected", aStatus.serversEjected);
   servers("limited", aStatus.serversLimited);
   auto status = [this](const char* aName, double aValue) {
--- a/libs/engine/src/PlainRequestHandler.cpp
+++ b/libs/engine/src/PlainRequestHandler.cpp
@@ -60,8 +60,10 @@
     refusal == dispatch::RequestFailure::NotExecuted &&
     (now >= this->RefusalDeadline() || !this->call->MayHaveCapacity(now, this->RefusalDeadline()));
   if (failed || deadlineExceeded || hasNoCapacity) {
-    this->Refuse(
-      refusal, deadlineExceeded ? kDeadlineExceeded : (failed ? kAttemptsExhausted : kNoCapacity));
+    bool wasSent = this->call->History().sent > 0;
+    this->Refuse(refusal,
+                 deadlineExceeded ? kDeadlineExceeded
+                                  : (failed && wasSent ? kAttemptsExhausted : kNoCapacity));
     return;
   }
   base::Instant wake = std::min(this->call->NextDue(), this->ResponseDeadline());
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <dispatch/ExtraAttempt.h>
 #include <dispatch/Gather.h>
+#include <dispatch/Restriction.h>
 #include <telemetry/Events.h>
 
 namespace sapphirewind::engine {
@@ -15,6 +16,8 @@
 constexpr base::Duration kRetryInterval = std::chrono::milliseconds(10);
 /// No attempt is started with less time than this until the deadline.
 constexpr base::Duration kMinRemainingTime = std::chrono::milliseconds(3);
+/// Limit on the servers of one call in the log, as a service may have dozens.
+constexpr Json::ArrayIndex kMaxLoggedServers = 8;
 /// How long an attempt may continue after the request ended: longer than a usual pause of a server,
 /// so that its latency is still recorded.
 constexpr base::Duration kDetachedGracePeriod = std::chrono::milliseconds(350);
@@ -56,6 +59,9 @@
       if (this->openAttempts.empty()) {
         this->state = State::Failed;
       }
+    } else if (this->openAttempts.empty() &&
+               !this->MayHaveCapacity(aNow, this->options.request->deadline)) {
+      this->state = State::Failed;
     }
   }
   bool retryPending = this->sendDue || aNow >= this->hedgeAt;
@@ -134,17 +140,17 @@
 {
   const UpstreamPool::Servers& servers =
     this->options.context.upstreams.ServersOf(this->options.service);
-  bool anyInService = false;
+  bool allDraining = true;
   for (const auto& server : servers) {
-    dispatch::IssuePermits(server->State(), aNow);
-    bool inService = !server->State().draining;
-    if (inService && dispatch::MayHaveCapacity(server->State(), aBefore)) {
+    server->Refresh(aNow);
+    if (dispatch::MayHaveCapacity(server->State(), aNow, aBefore)) {
       return true;
     }
-    anyInService = anyInService || inService;
+    dispatch::Restriction restriction = dispatch::RestrictionOf(server->State(), aNow);
+    allDraining = allDraining && restriction == dispatch::Restriction::Draining;
   }
   // Servers that have not registered yet may do so in time.
-  return !anyInService;
+  return allDraining;
 }
 
 std::shared_ptr<UpstreamServer>
@@ -155,7 +161,7 @@
   std::vector<const dispatch::Upstream*> states;
   std::vector<size_t> excludedIndexes;
   for (size_t index = 0; index < servers.size(); ++index) {
-    dispatch::IssuePermits(servers[index]->State(), aNow);
+    servers[index]->Refresh(aNow);
     states.push_back(&servers[index]->State());
     if (this->IsExcluded(*servers[index], aNow)) {
       excludedIndexes.push_back(index);
@@ -319,21 +325,27 @@
 void
 ServiceCall::DescribeServers(Json::Value& aCall) const
 {
-  unsigned draining = 0;
-  unsigned full = 0;
-  unsigned limited = 0;
+  base::Instant now = base::Now();
   const UpstreamPool::Servers& servers =
     this->options.context.upstreams.ServersOf(this->options.service);
+  aCall["servers"] = Json::UInt64(servers.size());
+  aCall["avoided"] = Json::Value(Json::arrayValue);
   for (const auto& server : servers) {
-    bool isDraining = server->State().draining;
-    draining += isDraining ? 1 : 0;
-    full += !isDraining && !dispatch::HasCapacity(server->State()) ? 1 : 0;
-    limited += server->State().rateLimit ? 1 : 0;
+    dispatch::Restriction restriction = dispatch::RestrictionOf(server->State(), now);
+    bool isLogged =
+      restriction != dispatch::Restriction::None && aCall["avoided"].size() < kMaxLoggedServers;
+    if (!isLogged) {
+      continue;
+    }
+    Json::Value avoided;
+    avoided["server"] = server->Description().id;
+    avoided["why"] = dispatch::NameOf(restriction);
+    if (std::optional<base::Instant> since =
+          dispatch::RestrictedSince(server->State(), restriction)) {
+      avoided["for_ms"] = Json::Int64(base::ToMillis(now - *since));
+    }
+    aCall["avoided"].append(avoided);
   }
-  aCall["servers"] = Json::UInt64(servers.size());
-  aCall["leaving"] = draining;
-  aCall["full"] = full;
-  aCall["limited"] = limited;
 }
 
 Json::Value
--- a/libs/engine/src/UpstreamConnection.cpp
+++ b/libs/engine/src/UpstreamConnection.cpp
@@ -243,6 +243,8 @@
   }
   ExchangeResult result;
   result.meta = this->options.codec.readResponse(response);
+  this->serverLeaving = this->serverLeaving || result.meta.leaving;
+  result.meta.leaving = this->serverLeaving;
   bool stray = !result.meta.requestId.empty() && result.meta.requestId != this->request.id;
   if (stray && this->strayResponses < kMaxStrayResponses && response.keep_alive()) {
     ++this->strayResponses;
--- a/libs/engine/src/UpstreamPool.cpp
+++ b/libs/engine/src/UpstreamPool.cpp
@@ -31,6 +31,7 @@
   , startedAt(base::Now())
   , lastSourceAnswer(this->startedAt)
 {
+  this->SetDrain(this->options.drain);
 }
 
 base::Duration
@@ -106,7 +107,8 @@
     .endpoint = *endpoint,
     .assumedRoundTrip = this->AssumedRoundTrip(aServer.zone),
     .isRemote = this->RegionOf(aServer.zone) != this->RegionOf(this->options.zone),
-    .bufferedBytes = this->bufferedBytes });
+    .bufferedBytes = this->bufferedBytes,
+    .leavingServers = this->leavingServers });
 }
 
 void
@@ -151,6 +153,20 @@
     }
   }
   this->byId = std::move(next);
+  this->RecordListed(aTable, aNow);
+}
+
+void
+UpstreamPool::RecordListed(const directory::ServerTable& aTable, base::Instant aNow)
+{
+  if (this->leavingServers->records.empty()) {
+    return;
+  }
+  std::set<dispatch::ServerStart> listed;
+  for (const auto& [id, entry] : aTable.entries) {
+    listed.insert({ .id = id, .startedAtMs = entry.server.startedAtMs });
+  }
+  dispatch::SetListed(*this->leavingServers, listed, aNow);
 }
 
 bool
@@ -223,6 +239,8 @@
     summary.limited += !state.draining && state.rateLimit ? 1 : 0;
     if (state.draining) {
       ++summary.draining;
+    } else if (state.leaving) {
+      ++summary.leaving;
     } else if (dispatch::IsEjected(state, aNow)) {
       ++summary.ejected;
     } else {
@@ -240,8 +258,9 @@
 }
 
 void
-UpstreamPool::CloseExpired(base::Instant aNow)
+UpstreamPool::RunMaintenance(base::Instant aNow)
 {
+  dispatch::ForgetUnlisted(*this->leavingServers, aNow);
   for (const auto& [id, server] : this->byId) {
     server->CloseExpired(aNow);
   }
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <base/Random.h>
 #include <boost/asio/post.hpp>
+#include <dispatch/Restriction.h>
 #include <telemetry/Events.h>
 
 namespace sapphirewind::engine {
@@ -21,6 +22,12 @@
 /// faster one replaces it.
 constexpr int kRoundTripSmoothing = 8;
 
+dispatch::ServerStart
+StartOf(const directory::Server& aServer)
+{
+  return { .id = aServer.id, .startedAtMs = aServer.startedAtMs };
+}
+
 } // namespace
 
 Attempt::Attempt(std::shared_ptr<UpstreamServer> aServer,
@@ -118,6 +125,7 @@
                      { "why", dispatch::NameOf(aResult.outcome) } });
   }
   this->RecordRate(aResult, now);
+  this->RecordLeaving(aResult, now);
   if (aResult.misdirected) {
     telemetry::Log(telemetry::Event::ServerLeaving,
                    { { "server", this->server->Description().id },
@@ -166,6 +174,19 @@
   }
 }
 
+void
+Attempt::RecordLeaving(const ExchangeResult& aResult, base::Instant aNow)
+{
+  for (const std::string& header : aResult.meta.malformed) {
+    telemetry::LogRoutine(telemetry::Event::ServerHeaderMalformed,
+                          { { "server", this->server->Description().id }, { "header", header } });
+  }
+  // A misdirected request was answered by another server.
+  if (aResult.meta.leaving && !aResult.misdirected) {
+    this->server->OnLeaving(aNow);
+  }
+}
+
 UpstreamServer::UpstreamServer(Options aOptions)
   : options(std::move(aOptions))
 {
@@ -173,6 +194,9 @@
   this->state.isRemote = this->options.isRemote;
   this->state.slots = std::max(1U, this->options.server.slots);
   this->state.draining = this->options.server.draining;
+  this->state.drainingSince = base::Now();
+  this->state.leaving =
+    dispatch::FindLeaving(*this->options.leavingServers, StartOf(this->options.server));
   this->state.permitSeed = base::Hash64(this->options.server.id);
   this->state.coldUntil = base::Now() + this->options.server.coldRemaining;
 }
@@ -222,8 +246,8 @@
                                  .onIdle =
                                    [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
                                      auto self = weak.lock();
-                                     if (!self || self->state.draining) {
-                                       aConnection->Close("server retired");
+                                     if (!self || self->state.draining || self->state.leaving) {
+                                       aConnection->Close("server retired or leaving");
                                        return;
                                      }
                                      self->idle.push_back(aConnection);
@@ -252,6 +276,17 @@
   this->roundTripKnown = true;
 }
 
+void
+UpstreamServer::Refresh(base::Instant aNow)
+{
+  dispatch::IssuePermits(this->state, aNow);
+  bool mayLeave = !this->state.leaving && !this->options.leavingServers->records.empty();
+  if (mayLeave) {
+    this->state.leaving =
+      dispatch::FindLeaving(*this->options.leavingServers, StartOf(this->options.server));
+  }
+}
+
 void
 UpstreamServer::Probe(std::function<void(bool aConnectionRefused)> aOnResult)
 {
@@ -274,10 +309,35 @@
 void
 UpstreamServer::Retire()
 {
-  this->state.draining = true;
+  if (!this->state.draining) {
+    this->state.draining = true;
+    this->state.drainingSince = base::Now();
+  }
+  this->CloseIdle("server retired");
+}
+
+void
+UpstreamServer::OnLeaving(base::Instant aNow)
+{
+  if (this->state.leaving) {
+    return;
+  }
+  this->state.leaving =
+    dispatch::OnServerLeaving(*this->options.leavingServers, StartOf(this->options.server), aNow);
+  telemetry::Log(telemetry::Event::ServerLeaving,
+                 { { "server", this->options.server.id },
+                   { "started_at_ms", this->options.server.startedAtMs },
+                   { "why", "its answer says so" },
+                   { "usable_ms", base::ToMillis(this->state.leaving->usableUntil - aNow) } });
+  this->CloseIdle("server leaving");
+}
+
+void
+UpstreamServer::CloseIdle(const char* aCause)
+{
   std::vector<std::shared_ptr<UpstreamConnection>> closing = this->idle;
   for (const auto& connection : closing) {
-    connection->Close("server retired");
+    connection->Close(aCause);
   }
 }
 
--- a/libs/telemetry/include/telemetry/Events.h
+++ b/libs/telemetry/include/telemetry/Events.h
@@ -62,6 +62,7 @@
   RequestSuspect = 410,
   RequestCondemned = 411,
   RequestCleared = 412,
+  ServerHeaderMalformed = 414,
   SnapshotRestart = 420,
   SnapshotProven = 421,
   AttemptFailed = 430,
--- a/libs/telemetry/src/Events.cpp
+++ b/libs/telemetry/src/Events.cpp
@@ -46,6 +46,7 @@
     { Event::RequestSuspect, Level::Warning, "RequestSuspect" },
     { Event::RequestCondemned, Level::Error, "RequestCondemned" },
     { Event::RequestCleared, Level::Info, "RequestCleared" },
+    { Event::ServerHeaderMalformed, Level::Info, "ServerHeaderMalformed" },
     { Event::SnapshotRestart, Level::Info, "SnapshotRestart" },
     { Event::SnapshotProven, Level::Info, "SnapshotProven" },
     { Event::AttemptFailed, Level::Info, "AttemptFailed" },
