Check in the soak that servers that say that they leave are left alone

Servers say so at random, in all their answers until their next start, and start again 1 to 5 s later. The check joins what servers and callers recorded: a request that a caller sent over 1 s ('drain' of the soak's instances, 3 s before, so that fewer restarts and freezes excuse an instance) after the instance passed such an answer on.

--- a/fakes/include/fakes/SearchServer.h
+++ b/fakes/include/fakes/SearchServer.h
@@ -24,8 +24,6 @@
   double failProbability = 0.0;        ///< Runs the request and answers 500.
   /// The requests a second that the server says it accepts from all instances together.
   std::optional<double> requestRate;
-  /// The value of the header that says that the server leaves, in all its answers; empty for none.
-  std::string leaving;
   bool unresponsive = false; ///< Accepts requests and never answers.
   /// Maps the bytes of each answer to the bytes that are sent in place of it.
   std::function<std::string(const std::string&)> mutateAnswer;
@@ -55,6 +53,10 @@
   const std::string& Service() const { return this->options.service; }
 
   void SetBehaviour(const ServerBehaviour& aBehaviour);
+  /// Sets the value of the header that says that the server leaves, in all its answers until the
+  /// next start; empty for none.
+  void SetLeaving(const std::string& aValue);
+  bool IsLeaving() const;
   void SetDown(bool aDown);
   /// Starts the process anew, under the same id and address; Register makes it known.
   void Restart();
@@ -70,6 +72,17 @@
   /// How often the client closed its connection before the answer to a request.
   int Abandoned(const std::string& aId) const;
   size_t Arrivals() const;
+  /// A request as this server saw it.
+  struct Arrival
+  {
+    std::string id;
+    base::Instant at{};
+    /// The start of the server, in Unix milliseconds.
+    int64_t born = 0;
+    /// Whether its answer, if one was sent, said that the server leaves.
+    bool saidLeaving = false;
+  };
+  std::vector<Arrival> AllArrivals() const;
   /// How often a request crashed this server.
   int Crashes() const;
 
@@ -91,7 +104,8 @@
   base::Random random;
   std::map<std::string, int> runs;
   std::map<std::string, int> abandoned;
-  size_t arrivals = 0;
+  std::vector<Arrival> arrivals;
+  std::string leaving;
   int crashes = 0;
   /// When the process started, in Unix milliseconds; only differences matter.
   int64_t born = 1;
--- a/fakes/src/SearchServer.cpp
+++ b/fakes/src/SearchServer.cpp
@@ -71,6 +71,7 @@
   std::lock_guard guard(this->lock);
   ++this->born;
   this->behaviour = {};
+  this->leaving.clear();
 }
 
 int64_t
@@ -128,11 +129,32 @@
 
 size_t
 SearchServer::Arrivals() const
+{
+  std::lock_guard guard(this->lock);
+  return this->arrivals.size();
+}
+
+std::vector<SearchServer::Arrival>
+SearchServer::AllArrivals() const
 {
   std::lock_guard guard(this->lock);
   return this->arrivals;
 }
 
+void
+SearchServer::SetLeaving(const std::string& aValue)
+{
+  std::lock_guard guard(this->lock);
+  this->leaving = aValue;
+}
+
+bool
+SearchServer::IsLeaving() const
+{
+  std::lock_guard guard(this->lock);
+  return !this->leaving.empty();
+}
+
 bool
 SearchServer::HappensWithProbability(double aProbability)
 {
@@ -143,10 +165,11 @@
 SearchServer::Handle(const engine::HttpRequest& aRequest, const HttpServer::Respond& aRespond)
 {
   std::lock_guard guard(this->lock);
-  ++this->arrivals;
+  std::string id(aRequest[kRequestId]);
+  this->arrivals.push_back(
+    { .id = id, .at = base::Now(), .born = this->born, .saidLeaving = !this->leaving.empty() });
   HttpReply reply;
   reply.response.version(11);
-  std::string id(aRequest[kRequestId]);
   this->SetCommonHeaders(reply.response, id);
   bool addressedHere = aRequest["Sapphirewind-Target-Instance"] == this->options.id;
   if (!addressedHere || this->HappensWithProbability(this->behaviour.shedProbability)) {
@@ -169,8 +192,8 @@
 SearchServer::SetCommonHeaders(engine::HttpResponse& aResponse, const std::string& aId) const
 {
   aResponse.set(kRequestId, aId);
-  if (!this->behaviour.leaving.empty()) {
-    aResponse.set("Server-Leaving", this->behaviour.leaving);
+  if (!this->leaving.empty()) {
+    aResponse.set("Server-Leaving", this->leaving);
   }
 }
 
--- a/test/engine/LeavingServerTest.cpp
+++ b/test/engine/LeavingServerTest.cpp
@@ -24,7 +24,7 @@
 
   void Leave(size_t aServer, const std::string& aValue = "1")
   {
-    this->ServerOf("p", aServer).SetBehaviour({ .leaving = aValue });
+    this->ServerOf("p", aServer).SetLeaving(aValue);
   }
 
   std::optional<engine::HttpResponse> Send(const std::string& aTarget = "/p/1")
@@ -132,7 +132,7 @@
 BOOST_AUTO_TEST_CASE(costs_a_query_its_part_only)
 {
   for (size_t server : { 0U, 1U }) {
-    this->ServerOf("s0", server).SetBehaviour({ .leaving = "1" });
+    this->ServerOf("s0", server).SetLeaving("1");
   }
   BOOST_TEST(Await([this] {
     auto answer = this->Send("/q/1");
--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -50,7 +50,7 @@
   }
   std::erase_if(this->recoveries,
                 [&](const ScheduledRecovery& aRecovery) { return aRecovery.at <= aNow; });
-  return this->InjectNextFault(aNow) + this->InjectOverlappingFault();
+  return this->InjectNextFault(aNow) + this->InjectOverlappingFault(aNow);
 }
 
 std::string
@@ -72,14 +72,36 @@
 }
 
 std::string
-FaultInjector::InjectOverlappingFault()
+FaultInjector::InjectOverlappingFault(base::Instant aNow)
 {
-  constexpr size_t kStepsPerCut = 4;
-  if (base::UniformIndex(this->overlapRandom, kStepsPerCut) > 0) {
+  switch (base::UniformIndex(this->overlapRandom, 8)) {
+    case 0:
+    case 1:
+      this->cluster.store.CutWatches();
+      return ", and store cuts off its watches";
+    case 2:
+      return this->ReplaceServer(aNow);
+    default:
+      return "";
+  }
+}
+
+std::string
+FaultInjector::ReplaceServer(base::Instant aNow)
+{
+  RelayedServer& server =
+    this->cluster.servers[base::UniformIndex(this->overlapRandom, this->cluster.servers.size())];
+  if (server.server->IsLeaving()) {
     return "";
   }
-  this->cluster.store.CutWatches();
-  return ", and store cuts off its watches";
+  server.server->SetLeaving("1");
+  auto slack = std::chrono::milliseconds(base::UniformIndex(this->overlapRandom, 4000));
+  this->recoveries.push_back(
+    { .at = aNow + ProcessCluster::kDrain + slack, .recover = [this, &server] {
+       server.server->Restart();
+       this->cluster.Register(server, "ready");
+     } });
+  return ", and " + server.server->Id() + " says that it leaves";
 }
 
 std::string
@@ -114,7 +136,11 @@
 FaultInjector::InjectNetworkFault(base::Instant aNow)
 {
   bool toStore = base::UniformIndex(this->random, 2) == 0;
-  fakes::Relay& relay = toStore ? *this->RandomInstance().storeRelay : *this->RandomServer().relay;
+  RelayedServer* server = toStore ? nullptr : &this->RandomServer();
+  if (server != nullptr) {
+    this->cluster.NoteDisturbance(server->server->Id());
+  }
+  fakes::Relay& relay = toStore ? *this->RandomInstance().storeRelay : *server->relay;
   std::string target = toStore ? "a link to the store" : "a link to a server";
   switch (base::UniformIndex(this->random, 4)) {
     case 0:
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -30,7 +30,9 @@
   std::string InjectServerFault(base::Instant aNow);
   std::string RunOperatorAction(base::Instant aNow);
   /// Injects a short fault beside the one of this step, in some steps; empty otherwise.
-  std::string InjectOverlappingFault();
+  std::string InjectOverlappingFault(base::Instant aNow);
+  /// Lets a server say that it leaves; it starts again some time after it need not serve any more.
+  std::string ReplaceServer(base::Instant aNow);
   /// Schedules the end of a fault after a random delay of up to kMaxFaultDuration.
   void ScheduleRecovery(base::Instant aNow, std::function<void()> aRecover);
   InstanceProcess& RandomInstance();
--- a/test/soak/LoadGenerator.cpp
+++ b/test/soak/LoadGenerator.cpp
@@ -93,11 +93,13 @@
 {
   base::Random random(aSeed);
   std::unique_ptr<Caller> caller;
+  SentRequest sent;
   for (size_t number = 0; !this->stopping; ++number) {
     // Reuses a connection until it fails or is closed, also across faults of its instance.
     if (!caller) {
       size_t instance = base::UniformIndex(random, this->addresses.size());
-      caller = std::make_unique<Caller>(this->addresses[instance], std::chrono::seconds(4));
+      sent.instance = this->addresses[instance];
+      caller = std::make_unique<Caller>(sent.instance, std::chrono::seconds(4));
     }
     std::string id = std::to_string(aSeed) + "-" + std::to_string(number);
     TestRequest request{ .id = id, .deadlineMs = 1000 };
@@ -114,8 +116,10 @@
         request.body = "booking";
         break;
     }
+    sent.sentAt = base::Now();
     auto response = caller->Exchange(request);
-    this->RecordResponse(request, response);
+    sent.endedAt = base::Now();
+    this->RecordResponse(request, sent, response);
     if (!response || !response->keep_alive()) {
       caller.reset();
     }
@@ -125,10 +129,18 @@
 
 void
 LoadGenerator::RecordResponse(const TestRequest& aRequest,
+                              SentRequest aSent,
                               const std::optional<engine::HttpResponse>& aResponse)
 {
   std::lock_guard guard(this->lock);
   ++this->result.requests;
+  if (aResponse) {
+    // The stamp of a fake server is "service.server.request.run".
+    std::stringstream stamp(Header(*aResponse, "Sapphirewind-Server-Stamp"));
+    std::string service;
+    std::getline(std::getline(stamp, service, '.'), aSent.answeredBy, '.');
+  }
+  this->result.sent.emplace(aRequest.id, std::move(aSent));
   bool booking = aRequest.method == "POST";
   if (booking) {
     this->result.bookings.push_back(aRequest.id);
--- a/test/soak/LoadGenerator.h
+++ b/test/soak/LoadGenerator.h
@@ -10,6 +10,17 @@
 
 namespace sapphirewind::test {
 
+/// A request as its caller saw it.
+struct SentRequest
+{
+  /// The callers' address of the instance that it was sent to.
+  std::string instance;
+  base::Instant sentAt{};
+  base::Instant endedAt{};
+  /// The server whose answer was passed on; empty for a query or without an answer.
+  std::string answeredBy;
+};
+
 /// Requests and outcomes of all callers.
 struct LoadResult
 {
@@ -20,6 +31,8 @@
   /// Bookings whose response states that they were not executed.
   std::vector<std::string> refusedBookings;
   std::vector<std::string> violations;
+  /// All requests by id.
+  std::map<std::string, SentRequest> sent;
 };
 
 class LoadGenerator
@@ -34,6 +47,7 @@
 private:
   void Run(uint64_t aSeed);
   void RecordResponse(const TestRequest& aRequest,
+                      SentRequest aSent,
                       const std::optional<engine::HttpResponse>& aResponse);
 
   std::vector<std::string> addresses;
--- a/test/soak/Main.cpp
+++ b/test/soak/Main.cpp
@@ -3,6 +3,7 @@
 /// seed, the request counts and every violation.
 #include "FaultInjector.h"
 #include "LoadGenerator.h"
+#include "UpstreamChecks.h"
 
 #include <csignal>
 #include <gflags/gflags.h>
@@ -121,6 +122,7 @@
       std::this_thread::sleep_for(kAttemptDrainTime);
       CheckAllInstancesServe(cluster, result.violations);
       CheckBookingExecutions(cluster, result);
+      CheckLeavingServers(cluster, result);
     }
   }
   std::cout << "seed " << FLAGS_seed << ": requests " << result.requests << ", succeeded "
--- a/test/soak/ProcessCluster.cpp
+++ b/test/soak/ProcessCluster.cpp
@@ -121,7 +121,7 @@
   settings["extra_minimum"] = 50;
   settings["extra_window"] = "10s";
   settings["stability_window"] = "3000ms";
-  settings["drain"] = "3000ms";
+  settings["drain"] = std::to_string(kDrain.count()) + "ms";
   settings["stop_within"] = "5s";
   instance.settingsFile =
     (this->options.folder / ("instance-" + std::to_string(aNumber) + ".json")).string();
@@ -166,6 +166,24 @@
   if (aInstance.pid != 0) {
     kill(aInstance.pid, aSignal);
   }
+  if (aSignal != SIGHUP) {
+    this->NoteDisturbance(aInstance.callerAddress);
+  }
+}
+
+void
+ProcessCluster::NoteDisturbance(const std::string& aName)
+{
+  this->disturbances.emplace(aName, base::Now());
+}
+
+bool
+ProcessCluster::WasDisturbed(const std::string& aName, base::Instant aFrom, base::Instant aTo) const
+{
+  auto [first, last] = this->disturbances.equal_range(aName);
+  return std::any_of(first, last, [&](const auto& aNoted) {
+    return aNoted.second >= aFrom && aNoted.second <= aTo;
+  });
 }
 
 void
@@ -174,6 +192,7 @@
   for (InstanceProcess& instance : this->instances) {
     bool exited = instance.pid != 0 && waitpid(instance.pid, nullptr, WNOHANG) == instance.pid;
     if (exited) {
+      this->NoteDisturbance(instance.callerAddress);
       this->StartProcess(instance);
     }
   }
@@ -229,6 +248,9 @@
     clearFaults(*server.relay);
     server.server->SetBehaviour({});
     server.server->SetDown(false);
+    if (server.server->IsLeaving()) {
+      server.server->Restart();
+    }
     this->Register(server, "ready");
   }
   for (InstanceProcess& instance : this->instances) {
--- a/test/soak/ProcessCluster.h
+++ b/test/soak/ProcessCluster.h
@@ -8,6 +8,7 @@
 #include <fakes/Relay.h>
 #include <fakes/SearchServer.h>
 #include <filesystem>
+#include <map>
 #include <set>
 #include <sys/types.h>
 
@@ -59,11 +60,18 @@
   /// Removes all faults of relays, servers and the store, and resumes suspended processes.
   void ClearFaults();
 
+  /// Notes a fault of an instance, by its callers' address, or of the link to a server, by its id.
+  void NoteDisturbance(const std::string& aName);
+  /// Whether one was noted for a name in a span of time.
+  bool WasDisturbed(const std::string& aName, base::Instant aFrom, base::Instant aTo) const;
+
   /// Number of executions of a request, summed over all servers.
   int ExecutionCount(const std::string& aId) const;
 
   static constexpr size_t kShards = 4;
   static constexpr double kMinCoverage = 0.5;
+  /// How long a server that leaves may still be sent requests.
+  static constexpr std::chrono::milliseconds kDrain{ 1000 };
 
   fakes::LoopThread loop;
   fakes::ObjectStore store;
@@ -77,6 +85,7 @@
   /// Ports given out to instances.
   std::set<uint16_t> ports;
   uint64_t version = 0;
+  std::multimap<std::string, base::Instant> disturbances;
 };
 
 } // namespace sapphirewind::test
--- /dev/null
+++ b/test/soak/UpstreamChecks.h
@@ -0,0 +1,15 @@
+/// @file Checks what instances owe to servers, from the requests that servers and callers recorded.
+#pragma once
+
+#include "LoadGenerator.h"
+
+namespace sapphirewind::test {
+
+/// Adds a violation for each request that a caller sent to an instance later than
+/// ProcessCluster::kDrain after the instance had passed on an answer of a server that said that it
+/// leaves, and that reached this start of the server. A restart or a freeze of the instance since
+/// then excuses it.
+void
+CheckLeavingServers(const ProcessCluster& aCluster, LoadResult& aResult);
+
+} // namespace sapphirewind::test
