Send nothing to a server for the time that it names when it turns a request away

Cause: Retry-After of a server's 503 was not read; a server that wanted nothing for some seconds was sent requests again after 100 ms, and if all of a service's servers did so, callers were told to return after 100 ms too. The longest of several times holds, for that start of the server and beside what else it said of itself (dispatch/ServerStatements, before: LeavingServers); dispatch/Restriction has it among the reasons to leave a server alone. At its end the server gets one request more each 100 ms for a second.

Not measured: shares served while one or all servers are held, processor time a request.

--- a/fakes/include/fakes/SearchServer.h
+++ b/fakes/include/fakes/SearchServer.h
@@ -17,7 +17,9 @@
 struct ServerBehaviour
 {
   base::Duration serviceTime = std::chrono::milliseconds(2);
-  double shedProbability = 0.0;        ///< Reports that it did not run the request.
+  double shedProbability = 0.0; ///< Reports that it did not run the request.
+  /// With a request that it did not run: the seconds for which it wants nothing; empty for none.
+  std::string retryAfter;
   double resetProbability = 0.0;       ///< Runs the request and resets the connection.
   double truncateProbability = 0.0;    ///< Runs the request and truncates the answer.
   double extraAnswerProbability = 0.0; ///< Sends a second answer after the first.
@@ -81,6 +83,8 @@
     int64_t born = 0;
     /// Whether its answer, if one was sent, said that the server leaves.
     bool saidLeaving = false;
+    /// Whether it was turned away with a time for which the server wants nothing, and which.
+    std::string retryAfter;
   };
   std::vector<Arrival> AllArrivals() const;
   /// How often a request crashed this server.
--- a/fakes/src/SearchServer.cpp
+++ b/fakes/src/SearchServer.cpp
@@ -176,6 +176,10 @@
     reply.response.result(addressedHere ? http::status::service_unavailable
                                         : http::status::misdirected_request);
     reply.response.set("Sapphirewind-Not-Executed", "1");
+    if (addressedHere && !this->behaviour.retryAfter.empty()) {
+      reply.response.set(http::field::retry_after, this->behaviour.retryAfter);
+      this->arrivals.back().retryAfter = this->behaviour.retryAfter;
+    }
     aRespond(reply);
     return;
   }
--- a/libs/dispatch/include/dispatch/Restriction.h
+++ b/libs/dispatch/include/dispatch/Restriction.h
@@ -19,6 +19,9 @@
   Leaving,     ///< It said that it leaves: the last resort, until it counts as Left.
   Full,        ///< This instance uses its whole part of the server's connections.
   RateLimited, ///< This instance has no permit for the request rate that the server names.
+  Resuming,    ///< A time in which it wanted nothing is over; it takes this instance's work step by
+               ///< step.
+  Held,        ///< It wants nothing for a time that it named.
   Left,        ///< It said that it leaves, longer ago than it goes on serving.
   Draining     ///< Its entry in the store is draining or gone, or its address has another owner.
 };
@@ -49,9 +52,24 @@
 HasCapacity(const Upstream& aUpstream, base::Instant aNow);
 
 /// Whether this instance may have capacity at the server before a time. False only if the server is
-/// out of service, or limits its request rate and the next permit comes later. Precondition: as for
-/// RestrictionOf.
+/// out of service, wants nothing until then, or limits its request rate and the next permit comes
+/// later. Precondition: as for RestrictionOf.
 bool
 MayHaveCapacity(const Upstream& aUpstream, base::Instant aNow, base::Instant aBefore);
 
+/// Interval at which a server that wanted nothing takes one more request of this instance at once.
+/// Its other callers come back at the same moment.
+constexpr base::Duration kResumeInterval = std::chrono::milliseconds(100);
+/// How long it is given work by degrees.
+constexpr base::Duration kResumeTime = std::chrono::milliseconds(1000);
+
+/// Retry-After of a request for which no server is available before a time: callers of the most
+/// urgent rank, 0, return first, and those of one rank spread over an interval. aRandom: from 0
+/// to 1.
+base::Duration
+RetryDelay(base::Duration aUntilAvailable, unsigned aRank, double aRandom);
+
+/// The interval over which callers of one rank return.
+constexpr base::Duration kReturnInterval = std::chrono::milliseconds(100);
+
 } // namespace sapphirewind::dispatch
--- a/libs/dispatch/include/dispatch/Upstream.h
+++ b/libs/dispatch/include/dispatch/Upstream.h
@@ -9,8 +9,8 @@
 #include <base/Random.h>
 #include <base/Time.h>
 #include <cstdint>
-#include <dispatch/LeavingServers.h>
 #include <dispatch/RateLimit.h>
+#include <dispatch/ServerStatements.h>
 #include <map>
 #include <optional>
 #include <span>
@@ -48,8 +48,8 @@
   /// Set when the store's entry is draining or gone, or the address has another owner.
   bool draining = false;
   base::Instant drainingSince{};
-  /// Set once the server said in an answer that it leaves.
-  std::optional<Leaving> leaving;
+  /// What the server said of itself.
+  ServerStatement statement;
   /// Identifies the server among those that limit their request rate.
   uint64_t permitSeed = 0;
   /// This instance's part of the requests that the server accepts while it limits their rate.
--- a/libs/dispatch/test/LeavingServersTest.cpp
+++ b/libs/dispatch/test/ServerStatementsTest.cpp
@@ -1,7 +1,7 @@
 #include <base/Random.h>
 #include <boost/test/unit_test.hpp>
-#include <dispatch/LeavingServers.h>
 #include <dispatch/Restriction.h>
+#include <dispatch/ServerStatements.h>
 
 using namespace sapphirewind;
 using namespace sapphirewind::dispatch;
@@ -13,7 +13,7 @@
 const ServerStart kServer{ .id = "a", .startedAtMs = 7 };
 const ServerStart kNextStart{ .id = "a", .startedAtMs = 8 };
 
-LeavingServers
+ServerStatements
 MakeServers()
 {
   return { .servingTime = 4s, .records = {} };
@@ -23,7 +23,7 @@
 MakeUpstream(const std::optional<Leaving>& aLeaving)
 {
   Upstream upstream;
-  upstream.leaving = aLeaving;
+  upstream.statement.leaving = aLeaving;
   return upstream;
 }
 
@@ -33,7 +33,7 @@
 
 BOOST_AUTO_TEST_CASE(is_the_last_resort_at_first_and_then_left_alone)
 {
-  LeavingServers servers = MakeServers();
+  ServerStatements servers = MakeServers();
   Upstream upstream = MakeUpstream(OnServerLeaving(servers, kServer, kStart));
   BOOST_TEST((RestrictionOf(upstream, kStart + 4s - 1us) == Restriction::Leaving));
   BOOST_TEST(HasCapacity(upstream, kStart + 4s - 1us));
@@ -46,7 +46,7 @@
 // Guards against a time that each further answer of the server starts anew.
 BOOST_AUTO_TEST_CASE(is_used_no_longer_for_saying_so_again)
 {
-  LeavingServers servers = MakeServers();
+  ServerStatements servers = MakeServers();
   Leaving first = OnServerLeaving(servers, kServer, kStart);
   BOOST_TEST((OnServerLeaving(servers, kServer, kStart + 3s) == first));
 }
@@ -65,7 +65,7 @@
   BOOST_TEST(*choose({ &leaving, &ejected, &healthy }) == 2U);
   BOOST_TEST(*choose({ &leaving, &ejected }) == 1U);
   BOOST_TEST(*choose({ &leaving }) == 0U);
-  leaving.leaving->usableUntil = kStart;
+  leaving.statement.leaving->usableUntil = kStart;
   BOOST_TEST(!choose({ &leaving }));
 }
 
@@ -73,9 +73,9 @@
 
 BOOST_AUTO_TEST_CASE(is_a_new_server)
 {
-  LeavingServers servers = MakeServers();
+  ServerStatements servers = MakeServers();
   OnServerLeaving(servers, kServer, kStart);
-  BOOST_TEST(!FindLeaving(servers, kNextStart));
+  BOOST_TEST(!FindStatement(servers, kNextStart).leaving);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -84,29 +84,29 @@
 
 BOOST_AUTO_TEST_CASE(is_remembered_while_it_is_listed_and_for_some_minutes_after)
 {
-  LeavingServers servers = MakeServers();
+  ServerStatements servers = MakeServers();
   OnServerLeaving(servers, kServer, kStart);
   ForgetUnlisted(servers, kStart + 24h);
-  BOOST_TEST(FindLeaving(servers, kServer).has_value());
+  BOOST_TEST(FindStatement(servers, kServer).leaving.has_value());
   SetListed(servers, {}, kStart + 24h);
   SetListed(servers, {}, kStart + 24h + 1min);
-  ForgetUnlisted(servers, kStart + 24h + kLeavingRetention - 1us);
-  BOOST_TEST(FindLeaving(servers, kServer).has_value());
-  ForgetUnlisted(servers, kStart + 24h + kLeavingRetention);
-  BOOST_TEST(!FindLeaving(servers, kServer));
+  ForgetUnlisted(servers, kStart + 24h + kStatementRetention - 1us);
+  BOOST_TEST(FindStatement(servers, kServer).leaving.has_value());
+  ForgetUnlisted(servers, kStart + 24h + kStatementRetention);
+  BOOST_TEST(!FindStatement(servers, kServer).leaving);
 }
 
 BOOST_AUTO_TEST_CASE(is_forgotten_with_its_entry_if_its_start_is_not_known)
 {
   ServerStart unknown{ .id = "a" };
-  LeavingServers servers = MakeServers();
+  ServerStatements servers = MakeServers();
   OnServerLeaving(servers, unknown, kStart);
   SetListed(servers, { unknown }, kStart);
   ForgetUnlisted(servers, kStart);
-  BOOST_TEST(FindLeaving(servers, unknown).has_value());
+  BOOST_TEST(FindStatement(servers, unknown).leaving.has_value());
   SetListed(servers, {}, kStart);
   ForgetUnlisted(servers, kStart);
-  BOOST_TEST(!FindLeaving(servers, unknown));
+  BOOST_TEST(!FindStatement(servers, unknown).leaving);
 }
 
 // Guards against a restart of the memory by any order of answers, store changes, outages and
@@ -117,7 +117,7 @@
   constexpr int kEvents = 200;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     base::Random random(seed);
-    LeavingServers servers = MakeServers();
+    ServerStatements servers = MakeServers();
     std::map<ServerStart, base::Instant> saidAt;
     base::Instant now = kStart;
     for (int event = 0; event < kEvents; ++event) {
@@ -140,7 +140,7 @@
           ForgetUnlisted(servers, now);
       }
       for (const auto& [said, at] : saidAt) {
-        Upstream upstream = MakeUpstream(FindLeaving(servers, said));
+        Upstream upstream = MakeUpstream(FindStatement(servers, said).leaving);
         bool hasLeft = now >= at + servers.servingTime;
         BOOST_REQUIRE_MESSAGE(!hasLeft || !HasCapacity(upstream, now), "seed " << seed);
       }
@@ -153,15 +153,15 @@
 
 BOOST_AUTO_TEST_CASE(does_not_fill_the_memory)
 {
-  LeavingServers servers = MakeServers();
-  for (size_t number = 0; number < kMaxLeavingServers + 10; ++number) {
+  ServerStatements servers = MakeServers();
+  for (size_t number = 0; number < kMaxStatements + 10; ++number) {
     OnServerLeaving(servers, { .id = std::to_string(number), .startedAtMs = 1 }, kStart);
     if (number == 0) {
       SetListed(servers, {}, kStart);
     }
   }
-  BOOST_TEST(servers.records.size() == kMaxLeavingServers);
-  BOOST_TEST(!FindLeaving(servers, { .id = "0", .startedAtMs = 1 }));
+  BOOST_TEST(servers.records.size() == kMaxStatements);
+  BOOST_TEST(!FindStatement(servers, { .id = "0", .startedAtMs = 1 }).leaving);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/engine/include/engine/ServiceCall.h
+++ b/libs/engine/include/engine/ServiceCall.h
@@ -76,6 +76,10 @@
   /// their request rate, and this instance's permits come later.
   bool MayHaveCapacity(base::Instant aNow, base::Instant aBefore) const;
 
+  /// The earliest end of the times for which all servers in service want nothing; now if one of
+  /// them names none, or if none is in service.
+  base::Instant AvailableAt(base::Instant aNow) const;
+
   /// Whether an attempt is open and its hedge delay is not over.
   bool HasOnTimeAttempt(base::Instant aNow) const;
 
@@ -111,6 +115,8 @@
   };
 
   SendResult TrySend(base::Instant aNow);
+  /// Until when waiting for a server may still help: the answer is due, or else the deadline.
+  base::Instant UsefulUntil(base::Instant aNow) const;
   /// Withdraws an extra attempt from the service's extra-attempt budget if the attempt is
   /// worthwhile and the budget allows it.
   bool AdmitExtraAttempt(const UpstreamServer& aServer, base::Instant aNow);
--- a/libs/engine/include/engine/UpstreamPool.h
+++ b/libs/engine/include/engine/UpstreamPool.h
@@ -53,7 +53,7 @@
   void SetExtraAttemptLimits(double aShare, double aMinimum);
 
   /// Changes how long servers that say from now on that they leave may still be sent requests.
-  void SetDrain(base::Duration aDrain) { this->leavingServers->servingTime = aDrain; }
+  void SetDrain(base::Duration aDrain) { this->serverStatements->servingTime = aDrain; }
 
   const Servers& ServersOf(const std::string& aService) const;
 
@@ -114,8 +114,8 @@
   /// This instance's part by the region of the server, of those that were asked for.
   std::map<std::string, dispatch::InstanceArc> arcs;
   std::map<std::string, std::shared_ptr<UpstreamServer>> byId;
-  std::shared_ptr<dispatch::LeavingServers> leavingServers =
-    std::make_shared<dispatch::LeavingServers>();
+  std::shared_ptr<dispatch::ServerStatements> serverStatements =
+    std::make_shared<dispatch::ServerStatements>();
   std::unordered_map<std::string, Servers> byService;
   std::unordered_map<std::string, std::shared_ptr<dispatch::ServiceTimeEstimate>> serviceTimes;
   std::unordered_map<std::string, dispatch::AttemptBudget> budgets;
--- a/libs/engine/include/engine/UpstreamServer.h
+++ b/libs/engine/include/engine/UpstreamServer.h
@@ -38,7 +38,8 @@
   void RecordOutcome(const ExchangeResult& aResult);
   void RecordLoad(const ExchangeResult& aResult, base::Instant aNow);
   void RecordRate(const ExchangeResult& aResult, base::Instant aNow);
-  void RecordLeaving(const ExchangeResult& aResult, base::Instant aNow);
+  /// Records what the server said of itself.
+  void RecordStatement(const ExchangeResult& aResult, base::Instant aNow);
 
   std::shared_ptr<UpstreamServer> server;
   std::shared_ptr<dispatch::ServiceTimeEstimate> serviceTime;
@@ -66,9 +67,9 @@
     bool isRemote = false;
     /// The bytes that all connections of the instance hold for responses in progress.
     std::shared_ptr<uint64_t> bufferedBytes = std::make_shared<uint64_t>(0);
-    /// The servers that said that they leave, which outlive their entries.
-    std::shared_ptr<dispatch::LeavingServers> leavingServers =
-      std::make_shared<dispatch::LeavingServers>();
+    /// What servers said of themselves, which outlives their entries.
+    std::shared_ptr<dispatch::ServerStatements> serverStatements =
+      std::make_shared<dispatch::ServerStatements>();
   };
 
   explicit UpstreamServer(Options aOptions);
@@ -93,8 +94,8 @@
                                 ConnectionPolicy aPolicy,
                                 Attempt::OnEnd aOnEnd);
 
-  /// Brings the state up to date for a decision: issues permits, and takes over that the server
-  /// leaves if an answer said so to an earlier object for the same start.
+  /// Brings the state up to date for a decision: issues permits, and takes over what the server
+  /// said of itself to an earlier object for the same start.
   void Refresh(base::Instant aNow);
 
   /// Reports whether the server's address refuses connections, i.e. its process is not running. A
@@ -126,6 +127,7 @@
   std::shared_ptr<UpstreamConnection> OpenConnection();
   void RecordRoundTrip(base::Duration aMeasured);
   void OnLeaving(base::Instant aNow);
+  void OnHeld(base::Duration aFor, base::Instant aNow);
   void CloseIdle(const char* aCause);
 
   Options options;
--- a/libs/engine/include/engine/Wire.h
+++ b/libs/engine/include/engine/Wire.h
@@ -43,6 +43,8 @@
   std::optional<double> requestRate;
   /// The server says that it leaves.
   bool leaving = false;
+  /// How long the server wants nothing, if it turned the request away.
+  std::optional<base::Duration> retryAfter;
   /// Headers whose value cannot be read, as "name: value"; they change nothing.
   std::vector<std::string> malformed;
 };
--- a/libs/engine/src/PlainRequestHandler.cpp
+++ b/libs/engine/src/PlainRequestHandler.cpp
@@ -103,6 +103,12 @@
   return this->call->LostServers();
 }
 
+base::Instant
+PlainRequestHandler::AvailableAt(base::Instant aNow) const
+{
+  return this->call->AvailableAt(aNow);
+}
+
 Json::Value
 PlainRequestHandler::CallsToLog() const
 {
--- a/libs/engine/src/RequestHandlerBase.cpp
+++ b/libs/engine/src/RequestHandlerBase.cpp
@@ -1,6 +1,7 @@
 #include "RequestHandlerBase.h"
 
 #include <boost/asio/post.hpp>
+#include <dispatch/Restriction.h>
 #include <telemetry/Events.h>
 
 namespace sapphirewind::engine {
@@ -120,8 +121,21 @@
                                           .fingerprint = this->request->fingerprint,
                                           .lostServers = this->LostServers(),
                                           .ranIsolated = this->request->isSuspect });
+  base::Duration retryAfter = this->RetryAfter();
   this->CancelCalls();
-  this->Complete(MakeRefusalResponse(aRefusal, kRetryAfter), counter, aWhy);
+  this->Complete(MakeRefusalResponse(aRefusal, retryAfter), counter, aWhy);
+}
+
+base::Duration
+RequestHandlerBase::RetryAfter() const
+{
+  base::Instant now = base::Now();
+  base::Instant availableAt = this->AvailableAt(now);
+  if (availableAt <= now) {
+    return kRetryAfter;
+  }
+  return dispatch::RetryDelay(
+    availableAt - now, this->request->route->rank, base::UniformUnit(this->context.random));
 }
 
 } // namespace sapphirewind::engine
--- a/libs/engine/src/RequestHandlerBase.h
+++ b/libs/engine/src/RequestHandlerBase.h
@@ -13,7 +13,7 @@
 constexpr int kRefusalDeadlineDivisor = 4;
 /// The response is sent this long before the caller's deadline.
 constexpr base::Duration kDeadlineMargin = std::chrono::milliseconds(10);
-/// Retry-After of a request that no server had capacity for.
+/// Retry-After of a request that no server had capacity for, unless they name a time.
 constexpr base::Duration kRetryAfter = std::chrono::milliseconds(100);
 
 /// Reasons for a refusal, for the log record.
@@ -40,6 +40,8 @@
   virtual void DetachCalls() = 0;
   /// Servers whose connection closed after the request was sent and before a response.
   virtual std::vector<std::shared_ptr<UpstreamServer>> LostServers() const = 0;
+  /// When enough servers may be available again, by the times that they named; now if none did.
+  virtual base::Instant AvailableAt(base::Instant aNow) const = 0;
   /// The calls to include in the log record.
   virtual Json::Value CallsToLog() const = 0;
   virtual std::shared_ptr<RequestHandlerBase> Self() = 0;
@@ -60,6 +62,7 @@
 
 private:
   void Complete(HttpResponse&& aResponse, Counter aCounter, const char* aWhy);
+  base::Duration RetryAfter() const;
   void LogCompletion(unsigned aStatus, base::Duration aTook, const char* aWhy);
 
   OnResponse onResponse;
--- a/libs/engine/src/ScatterGatherHandler.cpp
+++ b/libs/engine/src/ScatterGatherHandler.cpp
@@ -147,6 +147,18 @@
   this->ScheduleEvaluation(wake);
 }
 
+base::Instant
+ScatterGatherHandler::AvailableAt(base::Instant aNow) const
+{
+  std::vector<base::Instant> times;
+  for (const auto& call : this->calls) {
+    times.push_back(call->AvailableAt(aNow));
+  }
+  std::sort(times.begin(), times.end());
+  size_t minParts = dispatch::MinParts(times.size(), this->request->route->minCoverage);
+  return minParts == 0 ? aNow : times[minParts - 1];
+}
+
 Json::Value
 ScatterGatherHandler::CallsToLog() const
 {
--- a/libs/engine/src/ScatterGatherHandler.h
+++ b/libs/engine/src/ScatterGatherHandler.h
@@ -22,6 +22,7 @@
   void CancelCalls() override;
   void DetachCalls() override;
   std::vector<std::shared_ptr<UpstreamServer>> LostServers() const override;
+  base::Instant AvailableAt(base::Instant aNow) const override;
   Json::Value CallsToLog() const override;
   std::shared_ptr<RequestHandlerBase> Self() override { return this->shared_from_this(); }
 
--- a/libs/engine/src/ServiceCall.cpp
+++ b/libs/engine/src/ServiceCall.cpp
@@ -60,7 +60,7 @@
         this->state = State::Failed;
       }
     } else if (this->openAttempts.empty() &&
-               !this->MayHaveCapacity(aNow, this->options.request->deadline)) {
+               !this->MayHaveCapacity(aNow, this->UsefulUntil(aNow))) {
       this->state = State::Failed;
     }
   }
@@ -153,6 +153,28 @@
   return allDraining;
 }
 
+base::Instant
+ServiceCall::UsefulUntil(base::Instant aNow) const
+{
+  return aNow < this->options.answerBy ? this->options.answerBy : this->options.request->deadline;
+}
+
+base::Instant
+ServiceCall::AvailableAt(base::Instant aNow) const
+{
+  std::optional<base::Instant> earliest;
+  for (const auto& server : this->options.context.upstreams.ServersOf(this->options.service)) {
+    dispatch::Restriction restriction = dispatch::RestrictionOf(server->State(), aNow);
+    bool isHeld = restriction == dispatch::Restriction::Held;
+    if (dispatch::IsOutOfService(restriction)) {
+      continue;
+    }
+    base::Instant at = isHeld ? server->State().statement.hold->until : aNow;
+    earliest = std::min(earliest.value_or(at), at);
+  }
+  return earliest.value_or(aNow);
+}
+
 std::shared_ptr<UpstreamServer>
 ServiceCall::ChooseServer(base::Instant aNow)
 {
--- a/libs/engine/src/UpstreamPool.cpp
+++ b/libs/engine/src/UpstreamPool.cpp
@@ -108,7 +108,7 @@
     .assumedRoundTrip = this->AssumedRoundTrip(aServer.zone),
     .isRemote = this->RegionOf(aServer.zone) != this->RegionOf(this->options.zone),
     .bufferedBytes = this->bufferedBytes,
-    .leavingServers = this->leavingServers });
+    .serverStatements = this->serverStatements });
 }
 
 void
@@ -159,14 +159,14 @@
 void
 UpstreamPool::RecordListed(const directory::ServerTable& aTable, base::Instant aNow)
 {
-  if (this->leavingServers->records.empty()) {
+  if (this->serverStatements->records.empty()) {
     return;
   }
   std::set<dispatch::ServerStart> listed;
   for (const auto& [id, entry] : aTable.entries) {
     listed.insert({ .id = id, .startedAtMs = entry.server.startedAtMs });
   }
-  dispatch::SetListed(*this->leavingServers, listed, aNow);
+  dispatch::SetListed(*this->serverStatements, listed, aNow);
 }
 
 bool
@@ -239,7 +239,7 @@
     summary.limited += !state.draining && state.rateLimit ? 1 : 0;
     if (state.draining) {
       ++summary.draining;
-    } else if (state.leaving) {
+    } else if (state.statement.leaving) {
       ++summary.leaving;
     } else if (dispatch::IsEjected(state, aNow)) {
       ++summary.ejected;
@@ -260,7 +260,7 @@
 void
 UpstreamPool::RunMaintenance(base::Instant aNow)
 {
-  dispatch::ForgetUnlisted(*this->leavingServers, aNow);
+  dispatch::ForgetUnlisted(*this->serverStatements, aNow);
   for (const auto& [id, server] : this->byId) {
     server->CloseExpired(aNow);
   }
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -125,7 +125,7 @@
                      { "why", dispatch::NameOf(aResult.outcome) } });
   }
   this->RecordRate(aResult, now);
-  this->RecordLeaving(aResult, now);
+  this->RecordStatement(aResult, now);
   if (aResult.misdirected) {
     telemetry::Log(telemetry::Event::ServerLeaving,
                    { { "server", this->server->Description().id },
@@ -175,16 +175,23 @@
 }
 
 void
-Attempt::RecordLeaving(const ExchangeResult& aResult, base::Instant aNow)
+Attempt::RecordStatement(const ExchangeResult& aResult, base::Instant aNow)
 {
   for (const std::string& header : aResult.meta.malformed) {
     telemetry::LogRoutine(telemetry::Event::ServerHeaderMalformed,
                           { { "server", this->server->Description().id }, { "header", header } });
   }
   // A misdirected request was answered by another server.
-  if (aResult.meta.leaving && !aResult.misdirected) {
+  if (aResult.misdirected) {
+    return;
+  }
+  if (aResult.meta.leaving) {
     this->server->OnLeaving(aNow);
   }
+  bool turnedAway = aResult.response.result() == http::status::service_unavailable;
+  if (turnedAway && aResult.meta.retryAfter) {
+    this->server->OnHeld(*aResult.meta.retryAfter, aNow);
+  }
 }
 
 UpstreamServer::UpstreamServer(Options aOptions)
@@ -195,8 +202,8 @@
   this->state.slots = std::max(1U, this->options.server.slots);
   this->state.draining = this->options.server.draining;
   this->state.drainingSince = base::Now();
-  this->state.leaving =
-    dispatch::FindLeaving(*this->options.leavingServers, StartOf(this->options.server));
+  this->state.statement =
+    dispatch::FindStatement(*this->options.serverStatements, StartOf(this->options.server));
   this->state.permitSeed = base::Hash64(this->options.server.id);
   this->state.coldUntil = base::Now() + this->options.server.coldRemaining;
 }
@@ -238,33 +245,33 @@
 UpstreamServer::OpenConnection()
 {
   std::weak_ptr<UpstreamServer> weak = this->weak_from_this();
-  return std::make_shared<UpstreamConnection>(
-    UpstreamConnection::Options{ .loop = this->options.loop,
-                                 .codec = this->options.codec,
-                                 .endpoint = this->options.endpoint,
-                                 .connectTimeout = kConnectTimeout,
-                                 .onIdle =
-                                   [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
-                                     auto self = weak.lock();
-                                     if (!self || self->state.draining || self->state.leaving) {
-                                       aConnection->Close("server retired or leaving");
-                                       return;
-                                     }
-                                     self->idle.push_back(aConnection);
-                                   },
-                                 .onClosed =
-                                   [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
-                                     if (auto self = weak.lock()) {
-                                       std::erase(self->idle, aConnection);
-                                     }
-                                   },
-                                 .onConnected =
-                                   [weak](base::Duration aTook) {
-                                     if (auto self = weak.lock()) {
-                                       self->RecordRoundTrip(aTook);
-                                     }
-                                   },
-                                 .bufferedBytes = this->options.bufferedBytes });
+  return std::make_shared<UpstreamConnection>(UpstreamConnection::Options{
+    .loop = this->options.loop,
+    .codec = this->options.codec,
+    .endpoint = this->options.endpoint,
+    .connectTimeout = kConnectTimeout,
+    .onIdle =
+      [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
+        auto self = weak.lock();
+        if (!self || self->state.draining || self->state.statement.leaving) {
+          aConnection->Close("server retired or leaving");
+          return;
+        }
+        self->idle.push_back(aConnection);
+      },
+    .onClosed =
+      [weak](const std::shared_ptr<UpstreamConnection>& aConnection) {
+        if (auto self = weak.lock()) {
+          std::erase(self->idle, aConnection);
+        }
+      },
+    .onConnected =
+      [weak](base::Duration aTook) {
+        if (auto self = weak.lock()) {
+          self->RecordRoundTrip(aTook);
+        }
+      },
+    .bufferedBytes = this->options.bufferedBytes });
 }
 
 void
@@ -280,10 +287,9 @@
 UpstreamServer::Refresh(base::Instant aNow)
 {
   dispatch::IssuePermits(this->state, aNow);
-  bool mayLeave = !this->state.leaving && !this->options.leavingServers->records.empty();
-  if (mayLeave) {
-    this->state.leaving =
-      dispatch::FindLeaving(*this->options.leavingServers, StartOf(this->options.server));
+  if (!this->options.serverStatements->records.empty()) {
+    this->state.statement =
+      dispatch::FindStatement(*this->options.serverStatements, StartOf(this->options.server));
   }
 }
 
@@ -319,19 +325,32 @@
 void
 UpstreamServer::OnLeaving(base::Instant aNow)
 {
-  if (this->state.leaving) {
+  if (this->state.statement.leaving) {
     return;
   }
-  this->state.leaving =
-    dispatch::OnServerLeaving(*this->options.leavingServers, StartOf(this->options.server), aNow);
-  telemetry::Log(telemetry::Event::ServerLeaving,
-                 { { "server", this->options.server.id },
-                   { "started_at_ms", this->options.server.startedAtMs },
-                   { "why", "its answer says so" },
-                   { "usable_ms", base::ToMillis(this->state.leaving->usableUntil - aNow) } });
+  this->state.statement.leaving =
+    dispatch::OnServerLeaving(*this->options.serverStatements, StartOf(this->options.server), aNow);
+  telemetry::Log(
+    telemetry::Event::ServerLeaving,
+    { { "server", this->options.server.id },
+      { "started_at_ms", this->options.server.startedAtMs },
+      { "why", "its answer says so" },
+      { "usable_ms", base::ToMillis(this->state.statement.leaving->usableUntil - aNow) } });
   this->CloseIdle("server leaving");
 }
 
+void
+UpstreamServer::OnHeld(base::Duration aFor, base::Instant aNow)
+{
+  dispatch::Hold hold = dispatch::OnServerHeld(
+    *this->options.serverStatements, StartOf(this->options.server), aFor, aNow);
+  this->state.statement.hold = hold;
+  telemetry::Log(telemetry::Event::ServerHeld,
+                 { { "server", this->options.server.id },
+                   { "asked_ms", base::ToMillis(aFor) },
+                   { "for_ms", base::ToMillis(hold.until - aNow) } });
+}
+
 void
 UpstreamServer::CloseIdle(const char* aCause)
 {
--- a/libs/telemetry/include/telemetry/Events.h
+++ b/libs/telemetry/include/telemetry/Events.h
@@ -63,6 +63,7 @@
   RequestCondemned = 411,
   RequestCleared = 412,
   ServerHeaderMalformed = 414,
+  ServerHeld = 415,
   SnapshotRestart = 420,
   SnapshotProven = 421,
   AttemptFailed = 430,
--- a/libs/telemetry/src/Events.cpp
+++ b/libs/telemetry/src/Events.cpp
@@ -47,6 +47,7 @@
     { Event::RequestCondemned, Level::Error, "RequestCondemned" },
     { Event::RequestCleared, Level::Info, "RequestCleared" },
     { Event::ServerHeaderMalformed, Level::Info, "ServerHeaderMalformed" },
+    { Event::ServerHeld, Level::Info, "ServerHeld" },
     { Event::SnapshotRestart, Level::Info, "SnapshotRestart" },
     { Event::SnapshotProven, Level::Info, "SnapshotProven" },
     { Event::AttemptFailed, Level::Info, "AttemptFailed" },
