--- a/test/soak/ProcessCluster.cpp
+++ b/test/soak/ProcessCluster.cpp
@@ -100,7 +100,9 @@
 InstanceProcess
 ProcessCluster::CreateInstance(size_t aNumber)
 {
-  base::Random random(this->options.seed * 1000 + aNumber + static_cast<uint64_t>(getpid()));
+  // Hashed, so that soaks side by side do not draw the same ports in the same order.
+  std::string identity = std::to_string(getpid()) + "/" + std::to_string(aNumber);
+  base::Random random(base::Hash64(identity, this->options.seed));
   InstanceProcess instance;
   instance.storeRelay = StartRelay(this->store.Address());
   instance.callerAddress = LoopbackAddress(FindFreePort(random, this->ports));
