Check in the soak that servers get nothing for the time that they name

Servers turn requests away with a time of 1 to 3 s at random. The check counts what each of them got from each instance from half a second after such an answer to the end of its time; two requests are allowed.

--- a/test/soak/FaultInjector.cpp
+++ b/test/soak/FaultInjector.cpp
@@ -81,11 +81,27 @@
       return ", and store cuts off its watches";
     case 2:
       return this->ReplaceServer(aNow);
+    case 3:
+      return this->OverloadServer(aNow);
     default:
       return "";
   }
 }
 
+std::string
+FaultInjector::OverloadServer(base::Instant aNow)
+{
+  fakes::SearchServer& server =
+    *this->cluster.servers[base::UniformIndex(this->overlapRandom, this->cluster.servers.size())]
+       .server;
+  std::string seconds = std::to_string(1 + base::UniformIndex(this->overlapRandom, 3));
+  server.SetBehaviour({ .shedProbability = 1.0, .retryAfter = seconds });
+  this->recoveries.push_back(
+    { .at = aNow + std::chrono::milliseconds(base::UniformIndex(this->overlapRandom, 2500)),
+      .recover = [&server] { server.SetBehaviour({}); } });
+  return ", and " + server.Id() + " turns requests away for " + seconds + " s";
+}
+
 std::string
 FaultInjector::ReplaceServer(base::Instant aNow)
 {
--- a/test/soak/FaultInjector.h
+++ b/test/soak/FaultInjector.h
@@ -31,6 +31,8 @@
   std::string RunOperatorAction(base::Instant aNow);
   /// Injects a short fault beside the one of this step, in some steps; empty otherwise.
   std::string InjectOverlappingFault(base::Instant aNow);
+  /// Lets a server turn everything away for a while and name a time.
+  std::string OverloadServer(base::Instant aNow);
   /// Lets a server say that it leaves; it starts again some time after it need not serve any more.
   std::string ReplaceServer(base::Instant aNow);
   /// Schedules the end of a fault after a random delay of up to kMaxFaultDuration.
--- a/test/soak/Main.cpp
+++ b/test/soak/Main.cpp
@@ -123,6 +123,7 @@
       CheckAllInstancesServe(cluster, result.violations);
       CheckBookingExecutions(cluster, result);
       CheckLeavingServers(cluster, result);
+      CheckHeldServers(cluster, result);
     }
   }
   std::cout << "seed " << FLAGS_seed << ": requests " << result.requests << ", succeeded "
--- a/test/soak/UpstreamChecks.cpp
+++ b/test/soak/UpstreamChecks.cpp
@@ -1,5 +1,7 @@
 #include "UpstreamChecks.h"
 
+#include <algorithm>
+
 namespace sapphirewind::test {
 
 namespace {
@@ -50,8 +52,59 @@
   }
 }
 
+/// Half a second in which requests that were under way may still arrive, and the number of requests
+/// that the platform allows after it.
+constexpr base::Duration kHoldSlack = std::chrono::milliseconds(500);
+constexpr size_t kAllowedInHold = 2;
+/// Faults of a link last up to 2.5 s, so one that began before the answer may delay it.
+constexpr base::Duration kLongestFault = std::chrono::milliseconds(2500);
+
+/// The instance that a request was sent to; empty if its caller has not recorded it.
+std::string
+InstanceOf(const LoadResult& aResult, const Arrival& aArrival)
+{
+  auto sent = aResult.sent.find(aArrival.id);
+  return sent == aResult.sent.end() ? "" : sent->second.instance;
+}
+
+void
+CheckHold(const ProcessCluster& aCluster,
+          const std::string& aServer,
+          const std::vector<Arrival>& aArrivals,
+          const Arrival& aTurnedAway,
+          LoadResult& aResult)
+{
+  std::string instance = InstanceOf(aResult, aTurnedAway);
+  base::Instant end = aTurnedAway.at + std::chrono::seconds(std::stoi(aTurnedAway.retryAfter));
+  auto arrived = std::count_if(aArrivals.begin(), aArrivals.end(), [&](const Arrival& aArrival) {
+    return aArrival.born == aTurnedAway.born && aArrival.at > aTurnedAway.at + kHoldSlack &&
+           aArrival.at < end && InstanceOf(aResult, aArrival) == instance;
+  });
+  bool isExcused = instance.empty() ||
+                   aCluster.WasDisturbed(instance, aTurnedAway.at - kLongestFault, end) ||
+                   aCluster.WasDisturbed(aServer, aTurnedAway.at - kLongestFault, end);
+  if (static_cast<size_t>(arrived) > kAllowedInHold && !isExcused) {
+    aResult.violations.push_back(aServer + " got " + std::to_string(arrived) + " requests from " +
+                                 instance + " in the " + aTurnedAway.retryAfter +
+                                 " s for which it wanted nothing");
+  }
+}
+
 } // namespace
 
+void
+CheckHeldServers(const ProcessCluster& aCluster, LoadResult& aResult)
+{
+  for (const RelayedServer& server : aCluster.servers) {
+    std::vector<Arrival> arrivals = server.server->AllArrivals();
+    for (const Arrival& arrival : arrivals) {
+      if (!arrival.retryAfter.empty()) {
+        CheckHold(aCluster, server.server->Id(), arrivals, arrival, aResult);
+      }
+    }
+  }
+}
+
 void
 CheckLeavingServers(const ProcessCluster& aCluster, LoadResult& aResult)
 {
--- a/test/soak/UpstreamChecks.h
+++ b/test/soak/UpstreamChecks.h
@@ -12,4 +12,10 @@
 void
 CheckLeavingServers(const ProcessCluster& aCluster, LoadResult& aResult);
 
+/// Adds a violation for each time, named by a server with a request that it turned away, in which
+/// more than two requests of that instance reached the server, counted from half a second after the
+/// answer. A fault of the instance or of the link to the server excuses it.
+void
+CheckHeldServers(const ProcessCluster& aCluster, LoadResult& aResult);
+
 } // namespace sapphirewind::test
