Change nothing for a time of 0, and forget a server's time once it is over

Found in reading the change: a Retry-After of 0 limited the server to one request at once, as after the end of a time; and the record of a time stayed until the entry went, so many of them could push out a server that leaves. is_used_as_before_if_the_time_is_zero checked one request only; it now takes all that the server may have at once, and that nothing is remembered. is_forgotten_once_the_time_and_its_return_are_over is new.

--- a/libs/dispatch/include/dispatch/ServerStatements.h
+++ b/libs/dispatch/include/dispatch/ServerStatements.h
@@ -72,6 +72,9 @@
 /// How long a start is remembered once no entry names it. Longer than any outage after which an
 /// entry that lapsed returns, and than the time after which an address is reused.
 constexpr base::Duration kStatementRetention = std::chrono::minutes(5);
+/// How long the end of a time in which a server wanted nothing is remembered. Longer than it is
+/// given work by degrees.
+constexpr base::Duration kHoldRetention = std::chrono::seconds(10);
 /// Limit on the time for which a server may want nothing, so that a faulty value does not take it
 /// out of service for good.
 constexpr base::Duration kMaxHold = std::chrono::hours(24);
@@ -84,7 +87,8 @@
 
 /// Records an answer which says that a server wants nothing for a time. The longest of several
 /// times holds: a shorter one that comes later does not end it. A time of 0 changes nothing.
-Hold
+/// Returns the time in force, if any.
+std::optional<Hold>
 OnServerHeld(ServerStatements& aServers,
              const ServerStart& aStart,
              base::Duration aFor,
@@ -98,9 +102,10 @@
 void
 SetListed(ServerStatements& aServers, const std::set<ServerStart>& aListed, base::Instant aNow);
 
-/// Forgets starts that no entry has named for kStatementRetention. One without a start time is
-/// forgotten at once, as its id's next start could not be told from it.
+/// Forgets what no longer matters: starts that no entry has named for kStatementRetention, and
+/// times that are over. A start without a start time is forgotten with its entry, as its id's next
+/// start could not be told from it.
 void
-ForgetUnlisted(ServerStatements& aServers, base::Instant aNow);
+ForgetOutdated(ServerStatements& aServers, base::Instant aNow);
 
 } // namespace sapphirewind::dispatch
--- a/libs/dispatch/src/ServerStatements.cpp
+++ b/libs/dispatch/src/ServerStatements.cpp
@@ -43,12 +43,15 @@
   return *leaving;
 }
 
-Hold
+std::optional<Hold>
 OnServerHeld(ServerStatements& aServers,
              const ServerStart& aStart,
              base::Duration aFor,
              base::Instant aNow)
 {
+  if (aFor <= base::Duration(0)) {
+    return FindStatement(aServers, aStart).hold;
+  }
   std::optional<Hold>& hold = StatementOf(aServers, aStart).hold;
   bool isHeld = hold && aNow < hold->until;
   base::Instant until = aNow + std::min<base::Duration>(aFor, kMaxHold);
@@ -56,7 +59,7 @@
     hold = Hold{ .since = aNow, .until = until };
   }
   hold->until = std::max(hold->until, until);
-  return *hold;
+  return hold;
 }
 
 ServerStatement
@@ -79,12 +82,19 @@
 }
 
 void
-ForgetUnlisted(ServerStatements& aServers, base::Instant aNow)
+ForgetOutdated(ServerStatements& aServers, base::Instant aNow)
 {
+  for (auto& [start, record] : aServers.records) {
+    std::optional<Hold>& hold = record.statement.hold;
+    if (hold && aNow >= hold->until + kHoldRetention) {
+      hold.reset();
+    }
+  }
   std::erase_if(aServers.records, [aNow](const auto& aEntry) {
     const auto& [start, record] = aEntry;
     base::Duration retention = start.startedAtMs == 0 ? base::Duration(0) : kStatementRetention;
-    return record.unlistedSince && aNow - *record.unlistedSince >= retention;
+    bool isUnlisted = record.unlistedSince && aNow - *record.unlistedSince >= retention;
+    return isUnlisted || record.statement == ServerStatement{};
   });
 }
 
--- a/libs/dispatch/test/RestrictionTest.cpp
+++ b/libs/dispatch/test/RestrictionTest.cpp
@@ -56,7 +56,12 @@
 BOOST_FIXTURE_TEST_CASE(is_used_as_before_if_the_time_is_zero, HeldServer)
 {
   this->Hold(0s, kStart);
-  BOOST_TEST(HasCapacity(this->upstream, kStart));
+  // As many as it may have at once, and not by degrees.
+  for (uint64_t request = 0; request < this->upstream.maxInFlight; ++request) {
+    BOOST_TEST(HasCapacity(this->upstream, kStart));
+    OnSent(this->upstream, request, 10ms, kStart);
+  }
+  BOOST_TEST(this->statements.records.empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(is_tried_again_after_a_day_however_long_it_asks, HeldServer)
@@ -66,6 +71,16 @@
   BOOST_TEST(HasCapacity(this->upstream, kStart + kMaxHold));
 }
 
+BOOST_FIXTURE_TEST_CASE(is_forgotten_once_the_time_and_its_return_are_over, HeldServer)
+{
+  this->Hold(2s, kStart);
+  ForgetOutdated(this->statements, kStart + 2s + kHoldRetention - 1us);
+  BOOST_TEST(this->statements.records.size() == 1U);
+  ForgetOutdated(this->statements, kStart + 2s + kHoldRetention);
+  BOOST_TEST(this->statements.records.empty());
+  BOOST_TEST((kHoldRetention >= kResumeTime));
+}
+
 // Guards against all that waited reaching the server in the moment in which its time ends.
 BOOST_FIXTURE_TEST_CASE(is_given_work_by_degrees_afterwards, HeldServer)
 {
@@ -101,7 +116,7 @@
         until = std::max<base::Instant>(until, now + time);
       }
       SetListed(server.statements, {}, now);
-      ForgetUnlisted(server.statements, now);
+      ForgetOutdated(server.statements, now);
       server.upstream.statement = FindStatement(server.statements, kServer);
       BOOST_REQUIRE_MESSAGE(HasCapacity(server.upstream, now) == (now >= until), "seed " << seed);
     }
--- a/libs/dispatch/test/ServerStatementsTest.cpp
+++ b/libs/dispatch/test/ServerStatementsTest.cpp
@@ -86,13 +86,13 @@
 {
   ServerStatements servers = MakeServers();
   OnServerLeaving(servers, kServer, kStart);
-  ForgetUnlisted(servers, kStart + 24h);
+  ForgetOutdated(servers, kStart + 24h);
   BOOST_TEST(FindStatement(servers, kServer).leaving.has_value());
   SetListed(servers, {}, kStart + 24h);
   SetListed(servers, {}, kStart + 24h + 1min);
-  ForgetUnlisted(servers, kStart + 24h + kStatementRetention - 1us);
+  ForgetOutdated(servers, kStart + 24h + kStatementRetention - 1us);
   BOOST_TEST(FindStatement(servers, kServer).leaving.has_value());
-  ForgetUnlisted(servers, kStart + 24h + kStatementRetention);
+  ForgetOutdated(servers, kStart + 24h + kStatementRetention);
   BOOST_TEST(!FindStatement(servers, kServer).leaving);
 }
 
@@ -102,10 +102,10 @@
   ServerStatements servers = MakeServers();
   OnServerLeaving(servers, unknown, kStart);
   SetListed(servers, { unknown }, kStart);
-  ForgetUnlisted(servers, kStart);
+  ForgetOutdated(servers, kStart);
   BOOST_TEST(FindStatement(servers, unknown).leaving.has_value());
   SetListed(servers, {}, kStart);
-  ForgetUnlisted(servers, kStart);
+  ForgetOutdated(servers, kStart);
   BOOST_TEST(!FindStatement(servers, unknown).leaving);
 }
 
@@ -137,7 +137,7 @@
           SetListed(servers, { start }, now);
           break;
         default:
-          ForgetUnlisted(servers, now);
+          ForgetOutdated(servers, now);
       }
       for (const auto& [said, at] : saidAt) {
         Upstream upstream = MakeUpstream(FindStatement(servers, said).leaving);
--- a/libs/engine/src/UpstreamPool.cpp
+++ b/libs/engine/src/UpstreamPool.cpp
@@ -260,7 +260,7 @@
 void
 UpstreamPool::RunMaintenance(base::Instant aNow)
 {
-  dispatch::ForgetUnlisted(*this->serverStatements, aNow);
+  dispatch::ForgetOutdated(*this->serverStatements, aNow);
   for (const auto& [id, server] : this->byId) {
     server->CloseExpired(aNow);
   }
--- a/libs/engine/src/UpstreamServer.cpp
+++ b/libs/engine/src/UpstreamServer.cpp
@@ -342,13 +342,14 @@
 void
 UpstreamServer::OnHeld(base::Duration aFor, base::Instant aNow)
 {
-  dispatch::Hold hold = dispatch::OnServerHeld(
+  std::optional<dispatch::Hold> hold = dispatch::OnServerHeld(
     *this->options.serverStatements, StartOf(this->options.server), aFor, aNow);
   this->state.statement.hold = hold;
-  telemetry::Log(telemetry::Event::ServerHeld,
-                 { { "server", this->options.server.id },
-                   { "asked_ms", base::ToMillis(aFor) },
-                   { "for_ms", base::ToMillis(hold.until - aNow) } });
+  telemetry::Log(
+    telemetry::Event::ServerHeld,
+    { { "server", this->options.server.id },
+      { "asked_ms", base::ToMillis(aFor) },
+      { "for_ms", hold ? base::ToMillis(std::max(hold->until - aNow, base::Duration(0))) : 0 } });
 }
 
 void
