--- a/libs/directory/include/directory/ServerTable.h
+++ b/libs/directory/include/directory/ServerTable.h
@@ -44,8 +44,8 @@
   {
     Server server;
     uint64_t revision = 0;
-    /// Set if the entry was removed from the store around an outage: when to drop it. Moves by the
-    /// time for which the store is unavailable meanwhile.
+    /// Set if the entry was removed from the store around an outage: when to drop it. Postponed by
+    /// the duration of each later outage.
     std::optional<base::Instant> expiresAt;
   };
 
--- a/libs/dispatch/include/dispatch/ServerStatements.h
+++ b/libs/dispatch/include/dispatch/ServerStatements.h
@@ -103,8 +103,8 @@
 SetListed(ServerStatements& aServers, const std::set<ServerStart>& aListed, base::Instant aNow);
 
 /// Forgets what no longer matters: starts that no entry has named for kStatementRetention, and
-/// times that are over. A start without a start time is forgotten with its entry, as its id's next
-/// start could not be told from it.
+/// times that are over. A start without a start time is forgotten with its entry, as it is
+/// indistinguishable from the next start of the same id.
 void
 ForgetOutdated(ServerStatements& aServers, base::Instant aNow);
 
