--- a/review/8/Case.cc
+++ b/review/8/Case.cc
@@ -1,5 +1,6 @@
 /// @file A request crashes the server that runs it, and its caller leaves before the second server has answered.
 #include <Standin-2.hpp>
+#include <array>
 
 using namespace standin;
 
@@ -75,11 +76,16 @@
   for (int number = 0; number < kSends; ++number) {
     Instant due = Clock::now() + Millis(kBetweenSendsMs);
     uint16_t port = instances[number % 2]->Front();
-    Sent other{};
-    std::thread bystander([&] {
-      SleepMs(kCrashAfterMs - 200);
-      other = Ask(record, port, "POST", "/book/other-" + std::to_string(number), 2000, "{}");
-    });
+    // Four clients are there, two at the machine in z1, one each in z2 and z3; one of the four leaves.
+    std::array<Sent, 3> others;
+    const std::array<uint16_t, 3> ports = { port, instances[2]->Front(), instances[3]->Front() };
+    std::vector<std::thread> staying;
+    for (size_t client = 0; client < others.size(); ++client) {
+      staying.emplace_back([&, client] {
+        SleepMs(kCrashAfterMs - 200);
+        others[client] = Ask(record, ports[client], "POST", "/book/other-" + std::to_string(number), 2000, "{}");
+      });
+    }
     {
       Socket caller;
       caller.Connect(port);
@@ -92,15 +98,19 @@
                   sends.back().id.c_str(),
                   answer ? answer->Status() : 0);
     }
-    bystander.join();
-    lostBookings += other.status == 200 ? 0 : 1;
+    for (std::thread& client : staying) {
+      client.join();
+    }
+    for (const Sent& other : others) {
+      lostBookings += other.status == 200 ? 0 : 1;
+    }
     std::this_thread::sleep_until(due);
   }
   CrashOutcome outcome = JudgeCrashes(record, servers, sends, kStabilityMs);
   record.Say("%d sends, %d crashes; of %d bookings of others at the same time, %d were lost",
              kSends,
              outcome.crashes,
-             kSends,
+             3 * kSends,
              lostBookings);
   record.Say("BUDGET: %d retries reached a server later than %d ms after the third crash; allowed %d",
              outcome.lateRetries,
