--- a/review/Standin-3.hpp
+++ b/review/Standin-3.hpp
@@ -163,6 +163,8 @@
     this->Close();
   }
   void EndOutput() { shutdown(this->socket, SHUT_WR); }
+  /// Ends both directions, also for a thread that waits for input.
+  void Abort() { shutdown(this->socket, SHUT_RDWR); }
 
   bool Send(const std::string& aText)
   {
@@ -396,6 +398,13 @@
     this->down = aDown;
     this->changed.notify_all();
   }
+  /// While it is cut off, no call is heard and no answer arrives; those that are under way come through afterwards.
+  void SetCutOff(bool aCutOff)
+  {
+    std::lock_guard guard(this->lock);
+    this->cutOff = aCutOff;
+    this->changed.notify_all();
+  }
   /// Whether the history up to now is dropped, so that a watch from before gets 410.
   void Compact()
   {
@@ -472,12 +481,24 @@
   {
     while (true) {
       std::optional<Message> request = aConnection.Receive(Clock::now() + std::chrono::hours(1));
-      if (!request || !aConnection.Send(this->Answer(*request))) {
+      if (!request) {
+        return;
+      }
+      this->AwaitPath();
+      std::string answer = this->Answer(*request);
+      this->AwaitPath();
+      if (!aConnection.Send(answer)) {
         return;
       }
     }
   }
 
+  void AwaitPath()
+  {
+    std::unique_lock guard(this->lock);
+    this->changed.wait(guard, [this] { return !this->cutOff; });
+  }
+
   std::string Answer(const Message& aRequest)
   {
     std::string target = aRequest.Target();
@@ -595,6 +616,7 @@
   uint64_t revision = 100;
   uint64_t oldest = 0;
   bool down = false;
+  bool cutOff = false;
   std::map<std::string, std::map<std::string, Object>> kinds;
   std::vector<Event> events;
   Listener listener;
@@ -692,6 +714,17 @@
     this->behaviour = std::move(aBehaviour);
   }
 
+  /// Ends as a process that crashes does: nothing listens any more, and all connections end.
+  void Crash()
+  {
+    this->listener.Stop();
+    std::lock_guard guard(this->lock);
+    this->crashed = true;
+    for (Connection* connection : this->connections) {
+      connection->Abort();
+    }
+  }
+
   std::string StampOf(const std::string& aId) const { return this->options.id + ".stamp." + aId; }
 
   /// A body that only this request has: its id, in records of 16 bytes.
@@ -714,6 +747,17 @@
 
 private:
   void Serve(Connection& aConnection)
+  {
+    {
+      std::lock_guard guard(this->lock);
+      this->connections.insert(&aConnection);
+    }
+    this->ServeRequests(aConnection);
+    std::lock_guard guard(this->lock);
+    this->connections.erase(&aConnection);
+  }
+
+  void ServeRequests(Connection& aConnection)
   {
     while (true) {
       std::optional<Message> request = aConnection.Receive(Clock::now() + std::chrono::seconds(15));
@@ -723,6 +767,9 @@
       Behaviour current;
       {
         std::lock_guard guard(this->lock);
+        if (this->crashed) {
+          return;
+        }
         current = this->behaviour;
       }
       std::string id = request->Field("Sapphirewind-Request-Id");
@@ -748,6 +795,8 @@
   Runs& runs;
   std::mutex lock;
   Behaviour behaviour;
+  bool crashed = false;
+  std::set<Connection*> connections;
   Listener listener;
 };
 
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/1[1-5]/*.cpp; do
+for source in review/1[1-5]/Case.cc; do
   name=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-3/case-$name" "$source"
 done
